--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Two commands do all set-up: `make run` starts a whole deployment on loopback,
+# `make test` formats, vets, builds and tests everything.
+SHELL := /bin/bash
+DEPLOYMENT ?= velacruz
+GO ?= go
+GOFILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$')
+
+.PHONY: run test build check tools generate model unit
+
+run: build
+	./bin/devstack run --deployment $(DEPLOYMENT)
+
+test: tools check build model unit
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+tools:
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
+
+check:
+	@out=$$(gofmt -l $(GOFILES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	./.ci/check-imports
+
+unit:
+	./.ci/unit
+
+model:
+	@if [ -x model/check ]; then model/check; fi
+
+# Needs protoc; the generated code is committed, so a build does not.
+generate:
+	for p in platform peer admin; do \
+	  PATH="$$PWD/bin/gen:$$PATH"; mkdir -p bin/gen; \
+	  $(GO) build -o bin/gen/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp; \
+	  protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative rpc/$$p/$$p.proto; \
+	done
--- /dev/null
+++ b/core/verdict/verdict.go
@@ -0,0 +1,113 @@
+// Package verdict says, for every error that a client can see, whether its
+// request may have run on a backend server.
+package verdict
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Verdict states what is known about the execution of a request.
+type Verdict uint8
+
+// The verdicts, from the one that is safe to retry to the one that is not.
+const (
+	// NotRun means that the request has had no effect and will have none.
+	NotRun Verdict = iota
+	// Ran means that the request has taken effect.
+	Ran
+	// MayHaveRun means that the request may have taken effect.
+	MayHaveRun
+)
+
+// String returns the verdict as it appears in error texts and logs.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not run"
+	case Ran:
+		return "ran"
+	default:
+		return "may have run"
+	}
+}
+
+// Code is a five-character SQLSTATE.
+type Code string
+
+// The SQLSTATEs that the proxy itself raises. Drivers retry ShuttingDown and
+// NoPrimary by themselves, so both are raised only with the verdict NotRun.
+const (
+	WrongKey            Code = "28P01"
+	KeyNotAccepted      Code = "28000"
+	NoSuchRoute         Code = "3D000"
+	ProtocolViolation   Code = "08P01"
+	BadValue            Code = "22023"
+	FeatureNotSupported Code = "0A000"
+	ReadOnlyRoute       Code = "25006"
+	QueueFull           Code = "53300"
+	OverRate            Code = "53400"
+	ShuttingDown        Code = "57P01"
+	NoPrimary           Code = "57P03"
+	Cancelled           Code = "57014"
+	ConnectionFailure   Code = "08006"
+	OutcomeUnknown      Code = "08007"
+)
+
+// Error is a refusal or failure that is reported to a client.
+type Error struct {
+	Verdict Verdict
+	Code    Code
+	Message string
+	// RetryAfter is the shortest time after which a retry can succeed; 0 if unknown.
+	RetryAfter time.Duration
+	// Fatal says that the client's connection is closed after the error.
+	Fatal bool
+	cause error
+}
+
+// New returns an error with the verdict, code and formatted message.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the message followed by the verdict.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s)", e.Message, e.Verdict)
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// WithCause returns a copy of the error that wraps the cause.
+func (e *Error) WithCause(cause error) *Error {
+	c := *e
+	c.cause = cause
+	return &c
+}
+
+// WithRetryAfter returns a copy of the error with a wait hint.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// AsFatal returns a copy of the error that closes the client's connection.
+func (e *Error) AsFatal() *Error {
+	c := *e
+	c.Fatal = true
+	return &c
+}
+
+// From returns the Error in the chain of err. An error without one is reported
+// as MayHaveRun, because nothing is known about the request.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(MayHaveRun, OutcomeUnknown, "%v", err).WithCause(err).AsFatal()
+}
