--- a/standin/member/database.go
+++ b/standin/member/database.go
@@ -88,6 +88,16 @@
 	d.running.Store(&ctx)
 	defer d.running.Store(nil)
 	_, err := d.conn.ExecContext(ctx, sql, named(args))
+	return cancelledOr(ctx, err)
+}
+
+// cancelledOr returns the context's error in place of the error of a statement
+// that failed because of it: a function that stops early fails before the driver
+// notices the cancellation.
+func cancelledOr(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
 	return err
 }
 
@@ -97,7 +107,7 @@
 	rows, err := d.conn.QueryContext(ctx, sql, named(args))
 	if err != nil {
 		d.running.Store(nil)
-		return nil, err
+		return nil, cancelledOr(ctx, err)
 	}
 	return &resultRows{Rows: rows, db: d, ctx: ctx}, nil
 }
@@ -115,10 +125,11 @@
 		return nil, err
 	}
 	row := make([]driver.Value, len(r.Columns()))
-	if err := r.Next(row); err != nil {
+	err := r.Next(row)
+	if err == io.EOF {
 		return nil, err
 	}
-	return row, nil
+	return row, cancelledOr(r.ctx, err)
 }
 
 func (r *resultRows) close() {
