--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/mulberrysill/mulberrysill/rpc/platform"
+)
+
+// Limits of the store.
+const (
+	// MaxObjectBytes is the size above which an object is refused.
+	MaxObjectBytes = 16 << 20
+	// maxTransactionWrites is the number of writes that one transaction may hold.
+	maxTransactionWrites = 100
+	// leavingFor is how long an instance that is leaving stays in the list.
+	leavingFor = time.Minute
+)
+
+// store holds rows, objects and the history of the instance list, in memory.
+type store struct {
+	mu      sync.Mutex
+	rows    map[string]*pb.Row
+	objects map[string][]byte
+	// lastVersion is the version of the last written row. Versions are unique in
+	// the store, so a row that is removed and created again repeats none.
+	lastVersion uint64
+	instances   map[string][]instanceChange
+}
+
+// instanceChange is one change of an instance's entry; a nil instance removes it.
+type instanceChange struct {
+	at       time.Time
+	instance *pb.Instance
+}
+
+func newStore() *store {
+	return &store{rows: map[string]*pb.Row{}, objects: map[string][]byte{}, instances: map[string][]instanceChange{}}
+}
+
+func (s *store) get(key string) *pb.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read(key)
+}
+
+// read returns a copy of the row; a missing row has version 0.
+func (s *store) read(key string) *pb.Row {
+	if row := s.rows[key]; row != nil {
+		return proto.Clone(row).(*pb.Row)
+	}
+	return &pb.Row{Key: key}
+}
+
+func (s *store) list(prefix string) []*pb.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []*pb.Row
+	for key := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, s.read(key))
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows
+}
+
+// transact applies all writes or none.
+func (s *store) transact(writes []*pb.PutRowRequest) ([]*pb.Row, error) {
+	if err := validate(writes); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range writes {
+		if version := s.read(w.Key).Version; version != w.ExpectedVersion {
+			return nil, twirp.NewErrorf(twirp.FailedPrecondition, "row %s has version %d, not %d",
+				w.Key, version, w.ExpectedVersion).WithMeta("version", strconv.FormatUint(version, 10))
+		}
+	}
+	var rows []*pb.Row
+	for _, w := range writes {
+		if w.Remove {
+			delete(s.rows, w.Key)
+		} else {
+			s.lastVersion++
+			s.rows[w.Key] = &pb.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: s.lastVersion}
+		}
+		rows = append(rows, s.read(w.Key))
+	}
+	return rows, nil
+}
+
+func validate(writes []*pb.PutRowRequest) error {
+	if len(writes) == 0 || len(writes) > maxTransactionWrites {
+		return twirp.NewErrorf(twirp.InvalidArgument, "a transaction has 1 to %d writes", maxTransactionWrites)
+	}
+	seen := map[string]bool{}
+	for _, w := range writes {
+		if w.Key == "" || seen[w.Key] {
+			return twirp.NewErrorf(twirp.InvalidArgument, "key %q is empty or not unique", w.Key)
+		}
+		seen[w.Key] = true
+	}
+	return nil
+}
+
+func (s *store) putObject(data []byte) (string, error) {
+	if len(data) > MaxObjectBytes {
+		return "", twirp.NewErrorf(twirp.InvalidArgument, "object has %d bytes, the limit is %d", len(data), MaxObjectBytes)
+	}
+	sum := sha256.Sum256(data)
+	digest := hex.EncodeToString(sum[:])
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.objects[digest]; !ok {
+		s.objects[digest] = append([]byte(nil), data...)
+	}
+	return digest, nil
+}
+
+func (s *store) object(digest string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[digest]
+	if !ok {
+		return nil, twirp.NotFoundError("no object " + digest)
+	}
+	return data, nil
+}
+
+func (s *store) register(instance *pb.Instance) error {
+	if instance.Id == "" {
+		return twirp.RequiredArgumentError("id")
+	}
+	s.addChange(instance.Id, proto.Clone(instance).(*pb.Instance))
+	return nil
+}
+
+func (s *store) addChange(id string, instance *pb.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances[id] = append(s.instances[id], instanceChange{at: time.Now(), instance: instance})
+}
+
+// listInstances returns the list as it was the lag ago.
+func (s *store) listInstances(lag time.Duration) []*pb.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asOf := time.Now().Add(-lag)
+	var list []*pb.Instance
+	for _, changes := range s.instances {
+		var last instanceChange
+		for _, c := range changes {
+			if !c.at.After(asOf) {
+				last = c
+			}
+		}
+		if last.instance == nil || (last.instance.Leaving && asOf.Sub(last.at) > leavingFor) {
+			continue
+		}
+		list = append(list, last.instance)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
+	return list
+}
