--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	pb "github.com/mulberrysill/mulberrysill/rpc/peer"
+)
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	idleTimeout = 30 * time.Second
+)
+
+// Clients keeps one client per peer address. It may be used by any goroutine.
+type Clients struct {
+	http *http.Client
+
+	mu     sync.Mutex
+	byAddr map[string]pb.Peer // guarded by mu
+}
+
+// NewClients returns clients that sign their requests with the secret.
+func NewClients(secret []byte) *Clients {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Clients{
+		http:   &http.Client{Transport: &signingTransport{secret: secret, next: transport}},
+		byAddr: map[string]pb.Peer{},
+	}
+}
+
+// Get returns the client of the peer that listens on the address.
+func (c *Clients) Get(address string) pb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.byAddr[address]
+	if !ok {
+		client = pb.NewPeerProtobufClient("http://"+address, c.http)
+		c.byAddr[address] = client
+	}
+	return client
+}
+
+// Forget drops the client of an address that is no longer in the instance list.
+func (c *Clients) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byAddr, address)
+}
