Add the member side: choice of a member, commit outcomes and pools

Cause: sessions need a connection to a member that may serve them, and a commit needs the confirmation of a majority before it is acknowledged. No tests yet.

--- /dev/null
+++ b/core/consistency/token.go
@@ -0,0 +1,105 @@
+package consistency
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+
+	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/verdict"
+)
+
+// Token is the content of a session token: the smallest position at which the
+// holder may read the group. It is a value; any goroutine may use it.
+type Token struct {
+	Group     string
+	Workspace string
+	Position  group.Position
+}
+
+// tokenContext separates token signatures from other uses of the same key and
+// names the version of the encoding.
+const tokenContext = "mulberrysill session token 1\x00"
+
+// maxTokenBytes bounds the text that Verify decodes. Names are far shorter.
+const maxTokenBytes = 2048
+
+// Sign returns the token in text form: the base64url encoding, without padding,
+// of the token's fields followed by their HMAC-SHA-256. The text has no
+// character that needs quoting in a startup option. Any goroutine may call it.
+func Sign(key []byte, t Token) string {
+	body := appendName(nil, t.Group)
+	body = appendName(body, t.Workspace)
+	body = binary.AppendUvarint(body, t.Position.Term)
+	body = binary.AppendUvarint(body, t.Position.Index)
+	return base64.RawURLEncoding.EncodeToString(append(body, tokenMAC(key, body)...))
+}
+
+// Verify returns the token that s encodes. It fails with a *verdict.Error of
+// code 22023 and verdict NotRun if s was not signed with the key, or was signed
+// for another group or workspace. Any goroutine may call it.
+func Verify(key []byte, s, groupName, workspace string) (Token, error) {
+	if len(s) > maxTokenBytes {
+		return Token{}, badToken("is longer than any valid token")
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(s)
+	if err != nil || len(raw) < sha256.Size {
+		return Token{}, badToken("is malformed")
+	}
+	body, mac := raw[:len(raw)-sha256.Size], raw[len(raw)-sha256.Size:]
+	if !hmac.Equal(mac, tokenMAC(key, body)) {
+		return Token{}, badToken("has a wrong signature")
+	}
+	t, ok := parseToken(body)
+	switch {
+	case !ok:
+		return Token{}, badToken("is malformed")
+	case t.Workspace != workspace:
+		return Token{}, badToken("belongs to another workspace")
+	case t.Group != groupName:
+		return Token{}, badToken("belongs to another database group")
+	}
+	return t, nil
+}
+
+func badToken(fault string) error {
+	return verdict.New(verdict.NotRun, verdict.BadValue, "session token %s", fault)
+}
+
+func tokenMAC(key, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(tokenContext))
+	h.Write(body)
+	return h.Sum(nil)
+}
+
+func appendName(b []byte, name string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(name)))
+	return append(b, name...)
+}
+
+func parseToken(b []byte) (Token, bool) {
+	var t Token
+	ok := cutName(&b, &t.Group) && cutName(&b, &t.Workspace) &&
+		cutUvarint(&b, &t.Position.Term) && cutUvarint(&b, &t.Position.Index)
+	return t, ok && len(b) == 0
+}
+
+func cutUvarint(b *[]byte, target *uint64) bool {
+	v, n := binary.Uvarint(*b)
+	if n <= 0 {
+		return false
+	}
+	*target, *b = v, (*b)[n:]
+	return true
+}
+
+func cutName(b *[]byte, target *string) bool {
+	var n uint64
+	if !cutUvarint(b, &n) || n > uint64(len(*b)) {
+		return false
+	}
+	*target, *b = string((*b)[:n]), (*b)[n:]
+	return true
+}
--- /dev/null
+++ b/pkg/backend/pool.go
@@ -0,0 +1,199 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberrysill/mulberrysill/core/admission"
+	"github.com/mulberrysill/mulberrysill/core/consistency"
+	"github.com/mulberrysill/mulberrysill/core/group"
+)
+
+// member is one member of the group and its pool. All fields below kick are
+// guarded by Group.mu.
+type member struct {
+	Member
+	controls *controls
+	kick     chan struct{}
+
+	// known says that status is the member's last status, asked for at askedAt.
+	// Statuses asked for before validFrom are out of date.
+	known                          bool
+	status                         group.Status
+	askedAt, answeredAt, validFrom time.Time
+
+	inService bool
+	// since is the time at which the member came back into service; zero if it
+	// has not been away.
+	since  time.Time
+	budget int
+
+	idle []*pooled
+	// open counts the connections, idle and attached; opening those being opened.
+	open, opening int
+	// openTo, openingTo and waitingFor count by database.
+	openTo, openingTo, waitingFor map[string]int
+	attached, waiting             int
+	rate                          *admission.OpenRate
+	failures                      int
+	retryAt                       time.Time
+	timer                         *time.Timer
+}
+
+// pooled is a connection of the pool. Whoever holds it uses it alone: the pool
+// while it is idle, a session while it is attached.
+type pooled struct {
+	wire          *wire
+	member        *member
+	database      string
+	incarnation   uint64
+	openedAt      time.Time
+	lastWorkspace string
+	prepared      map[string]struct{}
+}
+
+func newMember(cfg *Config, m Member) *member {
+	return &member{
+		Member: m, controls: &controls{cfg: cfg, member: m}, kick: make(chan struct{}, 1),
+		openTo: map[string]int{}, openingTo: map[string]int{}, waitingFor: map[string]int{},
+		rate: admission.NewOpenRate(opensPerSecond, openBurst),
+	}
+}
+
+// limit returns the number of connections that may be open at now.
+func (m *member) limit(now time.Time) int {
+	if !m.inService {
+		return 0
+	}
+	limit, done := admission.Ramp(m.budget, m.since, now)
+	if done {
+		m.since = time.Time{}
+	}
+	return limit
+}
+
+// isUsable reports whether reads may be sent to the member: it answers status
+// calls, and accepts connections or has some.
+func (m *member) isUsable(now time.Time) bool {
+	return m.known && now.Sub(m.answeredAt) < statusLifetime && (m.open > 0 || !now.Before(m.retryAt))
+}
+
+// dispatch gives the member's idle connections to waiting requests in the order
+// of the fair queue, and opens connections for those that remain. The caller
+// holds g.mu.
+func (g *Group) dispatch(m *member) {
+	now := time.Now()
+	for !g.isClosed && m.waiting > 0 {
+		if it, ok := g.queue.Peek(func(it admission.Item) bool { return it.Member == m.Name }); ok {
+			// A database without any connection would otherwise wait for ever
+			// behind one whose connections are never idle.
+			if m.openTo[it.Database]+m.openingTo[it.Database] == 0 {
+				g.startOpening(m, it.Database, now)
+			}
+		}
+		it, ok := g.queue.Peek(func(it admission.Item) bool {
+			return it.Member == m.Name && m.hasIdle(it.Database)
+		})
+		if !ok {
+			break
+		}
+		g.grantNext(m, it)
+	}
+	for database, waiting := range m.waitingFor {
+		for m.openingTo[database] < waiting && g.startOpening(m, database, now) {
+		}
+	}
+}
+
+// grantNext gives an idle connection to the item. If the connection is unfit it
+// is closed instead; if the member is, the item chooses again. The caller holds
+// g.mu.
+func (g *Group) grantNext(m *member, it admission.Item) {
+	w := g.waiters[it.ID]
+	p := m.takeIdle(it.Database, it.Workspace)
+	replicaRead := w.request.Read && m.Name != g.view.Primary
+	switch {
+	case !isQuiet(p.wire.conn), replicaRead && g.isOutdated(p):
+		g.closePooled(p)
+		return
+	case replicaRead && !(m.known && w.isServedBy(m.status, g.term())):
+		m.idle = append(m.idle, p)
+		g.queue.Remove(it.Workspace, it.ID)
+		g.finish(it.ID, grant{})
+		return
+	}
+	_, charged, _ := g.queue.Next(func(other admission.Item) bool { return other.ID == it.ID })
+	c := &Conn{group: g, pooled: p, workspace: it.Workspace, read: w.request.Read, charged: charged, grantedAt: time.Now()}
+	m.attached++
+	if c.read {
+		g.reads++
+	} else {
+		g.writes++
+	}
+	g.finish(it.ID, grant{conn: c})
+}
+
+// isOutdated reports whether the connection is of an earlier incarnation than the
+// member's last status. If the status is the older one, it is dropped, and reads
+// wait for the next. The caller holds g.mu.
+func (g *Group) isOutdated(p *pooled) bool {
+	m := p.member
+	if !m.known || m.status.Incarnation == p.incarnation {
+		return false
+	}
+	if p.openedAt.Before(m.askedAt) {
+		return true
+	}
+	m.known, m.validFrom = false, p.openedAt
+	g.kickProbes()
+	return false
+}
+
+// isServedBy reports whether a replica with status s may still serve the read.
+func (w *waiter) isServedBy(s group.Status, t consistency.Term) bool {
+	return consistency.ReplicaServes(s, t, w.request.Floor) &&
+		(w.request.MaxAge <= 0 || consistency.ReplicaServes(s, t, w.ageFloor))
+}
+
+func (m *member) hasIdle(database string) bool {
+	return slices.ContainsFunc(m.idle, func(p *pooled) bool { return p.database == database })
+}
+
+// takeIdle removes and returns an idle connection to the database: the one last
+// used by the workspace, which needs no DISCARD ALL, or else the last one used.
+func (m *member) takeIdle(database, workspace string) *pooled {
+	at := -1
+	for i, p := range m.idle {
+		if p.database == database && (at < 0 || p.lastWorkspace == workspace || m.idle[at].lastWorkspace != workspace) {
+			at = i
+		}
+	}
+	p := m.idle[at]
+	m.idle = slices.Delete(m.idle, at, at+1)
+	return p
+}
+
+// closeIdle closes the idle connections that are unfit. The caller holds g.mu.
+func (g *Group) closeIdle(m *member, unfit func(*pooled) bool) {
+	m.idle = slices.DeleteFunc(m.idle, func(p *pooled) bool {
+		if !unfit(p) {
+			return false
+		}
+		g.closePooled(p)
+		return true
+	})
+}
+
+// closePooled closes a connection that is neither idle nor attached any more. The
+// caller holds g.mu.
+func (g *Group) closePooled(p *pooled) {
+	p.member.open--
+	p.member.openTo[p.database]--
+	p.wire.terminate()
+}
+
+// closeSurplus closes idle connections beyond the budget, those that were idle
+// longest first, and all of a member out of service. The caller holds g.mu.
+func (g *Group) closeSurplus(m *member) {
+	g.closeIdle(m, func(*pooled) bool { return !m.inService || m.open > m.budget })
+}
--- /dev/null
+++ b/pkg/backend/view.go
@@ -0,0 +1,110 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/mulberrysill/mulberrysill/core/admission"
+	"github.com/mulberrysill/mulberrysill/core/consistency"
+)
+
+// View is what the control goroutine has decided about the group. The receiver
+// of a View does not change it, and the sender must not either.
+type View struct {
+	// Primary is the member that takes writes; empty while there is none.
+	Primary string
+	// Term is the current term, TermStart the index of its first entry and
+	// PreviousTerm the term of the entry before that.
+	Term, TermStart, PreviousTerm uint64
+	// InService holds the members that may get new work; a member that is
+	// missing or false gets none, a primary included.
+	InService map[string]bool
+	// Budget is the number of connections that this instance may have open to
+	// each member. A member that is missing gets none.
+	Budget map[string]int
+	// Hold makes new writes wait, for a planned switchover.
+	Hold bool
+}
+
+// SetView replaces the view. Requests that wait for a member that may no longer
+// get them choose again; transactions that run are not touched. The control
+// goroutine calls it.
+func (g *Group) SetView(v View) {
+	if v.Primary != "" {
+		g.confirmer.setPrimary(v.Term, v.Primary)
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isClosed {
+		return
+	}
+	for name, m := range g.members {
+		in := v.InService[name]
+		if in && !m.inService && g.viewSet {
+			m.since = now
+		}
+		m.inService, m.budget = in, max(v.Budget[name], 0)
+	}
+	g.view, g.viewSet = v, true
+	g.moveWaiters()
+	for _, m := range g.members {
+		g.closeSurplus(m)
+		g.openWarm(m, now)
+		g.dispatch(m)
+	}
+	close(g.viewChanged)
+	g.viewChanged = make(chan struct{})
+	close(g.statusChanged)
+	g.statusChanged = make(chan struct{})
+}
+
+// moveWaiters makes the requests choose again whose member may no longer get
+// them. The caller holds g.mu.
+func (g *Group) moveWaiters() {
+	now := time.Now()
+	moved := g.queue.Take(func(it admission.Item) bool {
+		m, w := g.members[it.Member], g.waiters[it.ID]
+		if w == nil || !m.inService {
+			return true
+		}
+		if !w.request.Read {
+			return !g.takesWrites(&w.request) || it.Member != g.view.Primary
+		}
+		return it.Member != g.view.Primary && !m.isUsable(now)
+	})
+	for _, it := range moved {
+		g.finish(it.ID, grant{})
+	}
+}
+
+// takesWrites reports whether a write may be sent to the view's primary. The
+// caller holds g.mu.
+func (g *Group) takesWrites(r *Request) bool {
+	m := g.members[g.view.Primary]
+	return m != nil && m.inService && !g.view.Hold && consistency.PrimaryServes(g.term(), r.Floor)
+}
+
+// term returns the view's term. The caller holds g.mu.
+func (g *Group) term() consistency.Term {
+	return consistency.Term{Primary: g.view.Primary, Number: g.view.Term, Start: g.view.TermStart}
+}
+
+// upkeep keeps the pools within their budgets, closes idle connections that the
+// member has closed, and opens warm ones, until the group is closed.
+func (g *Group) upkeep() {
+	defer g.running.Done()
+	for g.pause(upkeepInterval) {
+		g.mu.Lock()
+		if !g.isClosed {
+			now := time.Now()
+			g.moveWaiters()
+			for _, m := range g.members {
+				g.closeIdle(m, func(p *pooled) bool { return !isQuiet(p.wire.conn) })
+				g.closeSurplus(m)
+				g.openWarm(m, now)
+				g.dispatch(m)
+			}
+		}
+		g.mu.Unlock()
+	}
+}
