--- /dev/null
+++ b/core/limits/borrow.go
@@ -0,0 +1,257 @@
+package limits
+
+import "time"
+
+// borrowed is a loan to this instance.
+type borrowed struct {
+	from        string
+	id          uint64
+	rate, burst float64
+	until       time.Time
+	// renewing says that a renewal was asked for, or refused.
+	renewing bool
+}
+
+// ask is a request without an answer yet. An answer that finds no ask is
+// dropped, so no answer counts twice.
+type ask struct {
+	to          string
+	id          uint64
+	rate, burst float64
+	tokens      float64
+	sent        time.Time
+}
+
+// refusal makes the borrower leave out a peer that had nothing to lend.
+type refusal struct {
+	until time.Time
+	wait  time.Duration
+}
+
+const (
+	// renewBefore is the time left at which a loan is renewed.
+	renewBefore = 400 * time.Millisecond
+	// askTimeout is the time after which an answer is given up.
+	askTimeout = 300 * time.Millisecond
+	// firstBackoff and maxBackoff bound the time for which a peer that had
+	// nothing to lend is left out.
+	firstBackoff, maxBackoff = 60 * time.Millisecond, 960 * time.Millisecond
+	// borrowAhead is the time over which a demand above the share may consume
+	// the tokens in the bucket before a loan is asked for.
+	borrowAhead = 200 * time.Millisecond
+)
+
+// tick renews loans and asks for new ones as the demand requires.
+func (b *Bucket) tick(now time.Time, e Tick) []Action {
+	b.demand.update(now)
+	b.dropAsks(now)
+	if !now.Before(e.Deadline) {
+		return nil
+	}
+	out := b.renew(now)
+	return append(out, b.borrow(now, e.Peers)...)
+}
+
+// need is the part of rate, burst and tokens that the demand lacks.
+type need struct{ rate, burst, tokens float64 }
+
+const (
+	// aimFactor is the rate that a borrower aims for relative to its demand.
+	aimFactor = 1.1
+	// negligibleRate is the part of a limit's rate that is not worth a message.
+	negligibleRate = 0.02
+	// negligibleTokens is the number of tokens that is not worth a message while
+	// no request waits for it.
+	negligibleTokens = 0.05
+)
+
+// missing compares the demand with the part in force. A burst above the share
+// shows as waiting requests and is met with tokens; a rate above the share is
+// met with rate before the tokens run out.
+func (b *Bucket) missing() need {
+	waiting := float64(b.waiting.len())
+	want := min(b.demand.rate*aimFactor, b.limit.Rate)
+	n := need{tokens: waiting - b.tokens}
+	if b.demand.rate > b.rate {
+		ahead := waiting + (b.demand.rate-b.rate)*borrowAhead.Seconds()
+		if b.tokens < max(ahead, wholeToken) {
+			n.rate = want - b.rate
+			n.tokens = ahead - b.tokens
+		}
+	}
+	if n.tokens > 0 || n.rate > 0 {
+		capacity := max(1, b.tokens+n.tokens, b.limit.Burst*want/b.limit.Rate)
+		n.burst = min(capacity, b.limit.Burst) - b.burst
+		n.tokens = min(n.tokens, b.burst+max(0, n.burst)-b.tokens)
+	}
+	return n
+}
+
+func (b *Bucket) isNegligible(n need) bool {
+	least := negligibleTokens
+	if b.waiting.len() > 0 {
+		least = 1 - wholeToken
+	}
+	return n.rate <= b.limit.Rate*negligibleRate && n.burst <= least && n.tokens <= least
+}
+
+// borrow asks as many peers as an even distribution of the limit suggests. What
+// they do not lend is asked of others at the next tick.
+func (b *Bucket) borrow(now time.Time, peers []string) []Action {
+	n := b.missing()
+	for i := range b.asks {
+		n.rate -= b.asks[i].rate
+		n.burst -= b.asks[i].burst
+		n.tokens -= b.asks[i].tokens
+	}
+	even := 1 / float64(len(peers)+1)
+	var out []Action
+	for range peers {
+		if b.isNegligible(n) {
+			break
+		}
+		peer := peers[b.nextPeer%len(peers)]
+		b.nextPeer++
+		if b.isAsked(peer) || now.Before(b.refusals[peer].until) {
+			continue
+		}
+		b.nextLoan++
+		wanted := need{max(0, n.rate), max(0, n.burst), max(0, n.tokens)}
+		out = append(out, b.ask(now, peer, b.nextLoan, wanted, need{
+			rate:   min(wanted.rate, b.limit.Rate*even),
+			burst:  min(wanted.burst, b.limit.Burst*even),
+			tokens: min(wanted.tokens, b.limit.Burst*even),
+		}))
+		last := &b.asks[len(b.asks)-1]
+		n = need{n.rate - last.rate, n.burst - last.burst, n.tokens - last.tokens}
+	}
+	return out
+}
+
+// ask sends a request and notes what it is expected to bring.
+func (b *Bucket) ask(now time.Time, to string, id uint64, wanted, expected need) Action {
+	b.asks = append(b.asks, ask{
+		to: to, id: id, rate: expected.rate, burst: expected.burst, tokens: expected.tokens, sent: now,
+	})
+	return Borrow{
+		To: to, Limit: b.limit.Name, LoanID: id,
+		Rate: wanted.rate, Burst: wanted.burst, Tokens: wanted.tokens,
+	}
+}
+
+func (b *Bucket) isAsked(peer string) bool {
+	for i := range b.asks {
+		if b.asks[i].to == peer {
+			return true
+		}
+	}
+	return false
+}
+
+// renew asks for the renewal of the loans that end soon and are still needed.
+func (b *Bucket) renew(now time.Time) []Action {
+	var out []Action
+	rate, burst := b.rate, b.burst
+	want := min(b.demand.rate*aimFactor, b.limit.Rate)
+	for i := range b.borrowed {
+		l := &b.borrowed[i]
+		if l.renewing || l.until.Sub(now) > renewBefore || (l.rate <= 0 && l.burst <= 0) {
+			continue
+		}
+		rate, burst = rate-l.rate, burst-l.burst
+		n := need{rate: max(0, min(l.rate, want-rate))}
+		if n.rate > 0 || (b.demand.rate > 0 && burst < wholeToken) {
+			n.burst = l.burst
+		}
+		if n.rate <= 0 && n.burst <= 0 {
+			continue
+		}
+		l.renewing = true
+		rate, burst = rate+n.rate, burst+n.burst
+		out = append(out, b.ask(now, l.from, l.id, n, need{}))
+	}
+	return out
+}
+
+func (b *Bucket) dropAsks(now time.Time) {
+	kept := b.asks[:0]
+	for _, a := range b.asks {
+		if now.Sub(a.sent) < askTimeout {
+			kept = append(kept, a)
+			continue
+		}
+		b.backOff(now, a.to)
+	}
+	b.asks = kept
+}
+
+func (b *Bucket) takeAsk(from string, id uint64) (ask, bool) {
+	for i, a := range b.asks {
+		if a.to == from && a.id == id {
+			b.asks = append(b.asks[:i], b.asks[i+1:]...)
+			return a, true
+		}
+	}
+	return ask{}, false
+}
+
+// onAnswer takes a loan into use. It ends on the own clock, counted from before
+// the request was sent and shortened by the drift bound.
+func (b *Bucket) onAnswer(now time.Time, e LoanAnswer) {
+	a, ok := b.takeAsk(e.From, e.LoanID)
+	if !ok {
+		return
+	}
+	until := a.sent.Add(shorten(min(e.Length, MaxLoan)))
+	if e.Length <= 0 || !now.Before(until) {
+		b.backOff(now, e.From)
+		return
+	}
+	delete(b.refusals, e.From)
+	loan := borrowed{from: e.From, id: e.LoanID, rate: max(0, e.Rate), burst: max(0, e.Burst), until: until}
+	if old := b.findBorrowed(e.From, e.LoanID); old >= 0 {
+		b.borrowed[old] = loan
+	} else if loan.rate > 0 || loan.burst > 0 {
+		b.borrowed = append(b.borrowed, loan)
+	}
+	b.recompute()
+	b.tokens = min(b.burst, b.tokens+max(0, e.Tokens))
+}
+
+func (b *Bucket) onFailed(now time.Time, e LoanFailed) {
+	if _, ok := b.takeAsk(e.From, e.LoanID); ok {
+		b.backOff(now, e.From)
+	}
+}
+
+func (b *Bucket) backOff(now time.Time, peer string) {
+	wait := min(max(firstBackoff, 2*b.refusals[peer].wait), maxBackoff)
+	b.refusals[peer] = refusal{until: now.Add(wait), wait: wait}
+}
+
+func (b *Bucket) findBorrowed(from string, id uint64) int {
+	for i := range b.borrowed {
+		if b.borrowed[i].from == from && b.borrowed[i].id == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// dropEnded removes the loans that have ended.
+func (b *Bucket) dropEnded(now time.Time) {
+	in := b.borrowed[:0]
+	for _, l := range b.borrowed {
+		if now.Before(l.until) {
+			in = append(in, l)
+		}
+	}
+	b.borrowed = in
+	out := b.lent[:0]
+	for _, l := range b.lent {
+		if now.Before(l.until) {
+			out = append(out, l)
+		}
+	}
+	b.lent = out
+}
