--- /dev/null
+++ b/pkg/control/limits.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrysill/mulberrysill/core/bundle"
+	"github.com/mulberrysill/mulberrysill/core/lease"
+	"github.com/mulberrysill/mulberrysill/core/limits"
+	"github.com/mulberrysill/mulberrysill/core/verdict"
+	pb "github.com/mulberrysill/mulberrysill/rpc/peer"
+)
+
+// borrowTimeout bounds one request for a loan. It is well below the time that a
+// request waits for a token, so that another peer can still be asked.
+const borrowTimeout = 100 * time.Millisecond
+
+// limitSet holds the buckets of all limits. Traffic goroutines take tokens under
+// the bucket's own mutex; the control goroutine drives loans.
+type limitSet struct {
+	plane   *Plane
+	buckets atomic.Pointer[map[string]*bucket]
+	lease   atomic.Pointer[lease.Status]
+	units   uint32 // owned by the control goroutine
+	next    time.Time
+}
+
+// bucket guards one limits.Bucket.
+type bucket struct {
+	mu      sync.Mutex
+	core    *limits.Bucket                // guarded by mu
+	waiting map[uint64]chan limits.Result // guarded by mu
+}
+
+func (s *limitSet) init(p *Plane) {
+	s.plane = p
+	s.buckets.Store(&map[string]*bucket{})
+	s.lease.Store(&lease.Status{})
+}
+
+// apply adds, changes and removes buckets as a new bundle says.
+func (s *limitSet) apply(b *bundle.Compiled, now time.Time) {
+	old := *s.buckets.Load()
+	next := map[string]*bucket{}
+	for _, l := range b.Limits() {
+		if have := old[l.Name]; have != nil {
+			have.step(now, limits.SetLimit{Limit: l}, s.deadline())
+			next[l.Name] = have
+			continue
+		}
+		next[l.Name] = &bucket{core: limits.NewBucket(l, s.units, now), waiting: map[uint64]chan limits.Result{}}
+	}
+	s.buckets.Store(&next)
+}
+
+func (s *limitSet) setUnits(units uint32, now time.Time) {
+	s.units = units
+	for _, b := range *s.buckets.Load() {
+		b.step(now, limits.SetUnits{Units: units}, s.deadline())
+	}
+}
+
+func (s *limitSet) setLease(status lease.Status) { s.lease.Store(&status) }
+
+func (s *limitSet) deadline() time.Time { return s.lease.Load().Deadline }
+
+// tick lets the buckets renew loans and ask for new ones.
+func (s *limitSet) tick(ctx context.Context, now time.Time) {
+	if now.Before(s.next) {
+		return
+	}
+	s.next = now.Add(limits.TickEvery)
+	peers := s.plane.livePeers(now)
+	for _, b := range *s.buckets.Load() {
+		if b.isIdle() {
+			continue
+		}
+		for _, a := range b.step(now, limits.Tick{Deadline: s.deadline(), Peers: peers}, s.deadline()) {
+			if borrow, ok := a.(limits.Borrow); ok {
+				s.borrow(ctx, b, borrow)
+			}
+		}
+	}
+}
+
+// borrow asks a peer for a loan. The loan's length counts from before the
+// request was sent, so that it ends here before the lender takes it back.
+func (s *limitSet) borrow(ctx context.Context, b *bucket, a limits.Borrow) {
+	v := s.plane.instances[a.To]
+	failed := limits.LoanFailed{From: a.To, LoanID: a.LoanID}
+	if v == nil || v.PeerAddress == "" {
+		b.step(time.Now(), failed, s.deadline())
+		return
+	}
+	client := s.plane.cfg.Peers.Get(v.PeerAddress)
+	request := &pb.BorrowRequest{
+		Sender: s.plane.sender(), Limit: a.Limit, Rate: a.Rate, Burst: a.Burst, Tokens: a.Tokens, LoanId: a.LoanID,
+	}
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		answer, err := client.Borrow(callCtx, request)
+		if err != nil {
+			b.step(time.Now(), failed, s.deadline())
+			return
+		}
+		b.step(time.Now(), limits.LoanAnswer{
+			From: a.To, LoanID: a.LoanID, Rate: answer.Rate, Burst: answer.Burst, Tokens: answer.Tokens,
+			Length: time.Duration(answer.LengthMs) * time.Millisecond,
+		}, s.deadline())
+	}()
+}
+
+// lend answers a peer's request for a loan.
+func (s *limitSet) lend(r *pb.BorrowRequest) *pb.BorrowResponse {
+	answer := &pb.BorrowResponse{}
+	b := (*s.buckets.Load())[r.Limit]
+	if b == nil || r.Sender == nil {
+		return answer
+	}
+	event := limits.BorrowAsked{
+		From: r.Sender.Id, FromEpoch: r.Sender.Epoch, LoanID: r.LoanId,
+		Rate: r.Rate, Burst: r.Burst, Tokens: r.Tokens, Deadline: s.deadline(),
+	}
+	for _, a := range b.step(time.Now(), event, s.deadline()) {
+		if grant, ok := a.(limits.Grant); ok {
+			answer.Rate, answer.Burst, answer.Tokens = grant.Rate, grant.Burst, grant.Tokens
+			answer.LengthMs = uint64(grant.Length.Milliseconds())
+		}
+	}
+	return answer
+}
+
+func (b *bucket) isIdle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Idle()
+}
+
+// step feeds one event and ends the waits that it settles.
+func (b *bucket) step(now time.Time, ev limits.Event, deadline time.Time) []limits.Action {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	actions := b.core.Step(now, ev)
+	b.settle(now, deadline)
+	return actions
+}
+
+// settle ends waits. The caller holds b.mu.
+func (b *bucket) settle(now, deadline time.Time) {
+	for _, r := range b.core.Settle(now, deadline) {
+		if ch := b.waiting[r.Ticket]; ch != nil {
+			ch <- r
+			delete(b.waiting, r.Ticket)
+		}
+	}
+}
+
+// Admit takes one token of the limit. It waits at most limits.MaxWait and fails
+// with a *verdict.Error.
+func (p *Plane) Admit(ctx context.Context, limit string) error {
+	b := (*p.limits.buckets.Load())[limit]
+	if b == nil {
+		return verdict.New(verdict.NotRun, verdict.KeyNotAccepted, "the workspace of limit %q no longer exists", limit)
+	}
+	b.mu.Lock()
+	// The clock and the lease are read under the mutex, so that a process that
+	// was paused before it got here does not use a lease that has ended.
+	decision := b.core.Take(time.Now(), p.limits.deadline())
+	if decision.Outcome == limits.Admitted {
+		b.mu.Unlock()
+		return nil
+	}
+	if decision.Outcome == limits.Refused {
+		b.mu.Unlock()
+		return overRate(limit, decision.RetryAfter)
+	}
+	ch := make(chan limits.Result, 1)
+	b.waiting[decision.Ticket] = ch
+	b.mu.Unlock()
+	return p.await(ctx, b, limit, decision.Ticket, ch)
+}
+
+// await waits for the result of a ticket. It settles the bucket itself when a
+// token falls due, so that a wait does not depend on the control goroutine.
+func (p *Plane) await(ctx context.Context, b *bucket, limit string, ticket uint64, ch chan limits.Result) error {
+	for {
+		b.mu.Lock()
+		now := time.Now()
+		b.settle(now, p.limits.deadline())
+		next, waiting := b.core.NextSettle(now)
+		b.mu.Unlock()
+		var wake <-chan time.Time
+		if waiting {
+			timer := time.NewTimer(max(time.Until(next), time.Millisecond))
+			defer timer.Stop()
+			wake = timer.C
+		}
+		select {
+		case r := <-ch:
+			if r.Admitted {
+				return nil
+			}
+			return overRate(limit, r.RetryAfter)
+		case <-ctx.Done():
+			b.mu.Lock()
+			b.core.Forget(ticket)
+			delete(b.waiting, ticket)
+			b.mu.Unlock()
+			return verdict.New(verdict.NotRun, verdict.Cancelled, "the request ended while it waited for its rate")
+		case <-wake:
+		}
+	}
+}
+
+func overRate(limit string, after time.Duration) error {
+	return verdict.New(verdict.NotRun, verdict.OverRate, "%q is over its rate", limit).WithRetryAfter(after)
+}
+
+// Borrow implements the peer service.
+func (p *Plane) Borrow(_ context.Context, r *pb.BorrowRequest) (*pb.BorrowResponse, error) {
+	return p.limits.lend(r), nil
+}
