--- /dev/null
+++ b/core/bundle/key.go
@@ -0,0 +1,35 @@
+package bundle
+
+import (
+	"crypto/hmac"
+	"crypto/pbkdf2"
+	"crypto/sha256"
+	"encoding/base64"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ScramIterations is the iteration count of new keys (RFC 7677 asks for at
+// least 4096). Keys are random, so more iterations add cost but no safety.
+const ScramIterations = 4096
+
+// NewKey returns the SCRAM-SHA-256 verifier of a key with the salt.
+func NewKey(id, key string, salt []byte) (Key, error) {
+	salted, err := pbkdf2.Key(sha256.New, key, salt, ScramIterations, sha256.Size)
+	if err != nil {
+		return Key{}, errors.Wrap(err, "derive verifier")
+	}
+	stored := sha256.Sum256(keyedHash(salted, "Client Key"))
+	return Key{
+		ID: id, Iterations: ScramIterations,
+		Salt:      base64.StdEncoding.EncodeToString(salt),
+		StoredKey: base64.StdEncoding.EncodeToString(stored[:]),
+		ServerKey: base64.StdEncoding.EncodeToString(keyedHash(salted, "Server Key")),
+	}, nil
+}
+
+func keyedHash(key []byte, text string) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(text))
+	return mac.Sum(nil)
+}
--- a/core/bundle/signed.go
+++ b/core/bundle/signed.go
@@ -96,3 +96,13 @@
 	sum := sha256.Sum256(signed)
 	return hex.EncodeToString(sum[:])
 }
+
+// SignerOf returns the identity of the key that a bundle claims to be signed
+// with; Open checks the claim.
+func SignerOf(signed []byte) (string, error) {
+	var e envelope
+	if err := yaml.Unmarshal(signed, &e); err != nil {
+		return "", errors.Wrap(err, "signed bundle")
+	}
+	return e.Key, nil
+}
