Serve floors of older terms only in confirmed terms

Cause: the history model found two ways to miss an acknowledged write. A term that no majority confirmed can be skipped by a later term that acknowledges a write which the skipped term lacks; and a replica may follow a term while it still shows entries of a discarded log, whose last term is above the floor's. Change: a replica serves only once it shows an entry of the current term, and floors of older terms count only in a term whose first entry a majority has confirmed. The instance asks for that confirmation when the view changes.

--- a/core/consistency/choose.go
+++ b/core/consistency/choose.go
@@ -11,8 +11,9 @@
 	// Primary is the name of the term's primary; empty while there is none.
 	Primary string
 	Number  uint64
-	// Start is the index of the first entry of the term; 0 if not known.
-	Start uint64
+	// Confirmed says that a majority of members is known to have held the first
+	// entry of the term, so that every later term contains the term's log.
+	Confirmed bool
 }
 
 // Member is one candidate for a read. Load orders members of the same kind;
@@ -72,27 +73,30 @@
 // s; a member's visible state never goes back within one incarnation, so an old
 // status stays a lower bound of what the connection reads.
 //
-// A floor of an older term is reduced to the start of the current term, because
-// every acknowledged write of an older term lies before it. Indexes of different
-// terms are never compared without the check of AppliedTerm: a replica whose
-// last entry is of the floor's term or a later one holds every acknowledged
-// entry of the floor's term up to its own index.
+// The replica must have applied an entry of the term: until then it may follow the
+// term and still show entries of a log that the term has discarded. From then on
+// what it shows is a prefix of the term's log, and contains the term's start.
+//
+// A floor of an older term is served only in a confirmed term. Otherwise a later
+// term can skip this one, and acknowledge writes of the floor's term that this
+// one lacks. In a confirmed term every such write lies before the term's start.
+// Indexes of different terms are never compared.
 func ReplicaServes(s group.Status, t Term, floor group.Position) bool {
-	if s.CurrentTerm != t.Number || s.AppliedTerm < floor.Term {
-		return false
-	}
-	index := floor.Index
-	if floor.Term < t.Number && t.Start > 0 {
-		index = min(index, t.Start)
-	}
-	return s.Applied >= index
+	return s.CurrentTerm == t.Number && s.AppliedTerm == t.Number && t.covers(floor) &&
+		(floor.Term < t.Number || s.Applied >= floor.Index)
 }
 
-// PrimaryServes reports whether the primary of the term may serve the floor. The
-// primary of a term holds every acknowledged write of that term and of all older
-// ones; it may lack writes of a later term.
+// PrimaryServes reports whether the primary of the term may serve the floor. It
+// holds every acknowledged write of its term and, once the term is confirmed, of
+// all older ones; it may lack writes of a later term.
 func PrimaryServes(t Term, floor group.Position) bool {
-	return t.Primary != "" && floor.Term <= t.Number
+	return t.Primary != "" && t.covers(floor)
+}
+
+// covers reports whether the log of the term holds the acknowledged writes that
+// the floor stands for.
+func (t Term) covers(floor group.Position) bool {
+	return floor.IsZero() || floor.Term == t.Number || (floor.Term < t.Number && t.Confirmed)
 }
 
 // Choose picks the member for a read. It prefers a fresh replica in service:
--- a/core/consistency/commits.go
+++ b/core/consistency/commits.go
@@ -72,7 +72,7 @@
 // Remove drops a pending commit that nobody waits for any more.
 func (c *Commits) Remove(id uint64) { delete(c.pending, id) }
 
-// SetPrimary records which member leads the term.
+// SetPrimary records which member was promoted in the term.
 func (c *Commits) SetPrimary(term uint64, member string) { c.term(term).primary = member }
 
 // Observe records a status and returns the commits that it decides.
@@ -98,6 +98,13 @@
 	return outcomes
 }
 
+// Confirmed reports whether a majority is known to have held the first entry of
+// the term.
+func (c *Commits) Confirmed(term uint64) bool {
+	h := c.terms[term]
+	return h != nil && c.isConfirmed(h)
+}
+
 // Target returns the position that the member is to be asked to wait for: the
 // highest pending position that the member has not confirmed.
 func (c *Commits) Target(member string) (group.Position, bool) {
@@ -118,19 +125,24 @@
 	return h != nil && (h.primary == member || h.confirmed[member] >= p.Index)
 }
 
-func (c *Commits) decide(p group.Position) Result {
+// hasMajority reports whether a majority has confirmed the index in the term. The
+// primary of the term counts without a status of its own: it has appended the
+// first entry to lead the term, and each commit before reporting it.
+func (c *Commits) hasMajority(h *history, index uint64) bool {
 	votes := 0
-	if h := c.terms[p.Term]; h != nil {
-		for member := range h.confirmed {
-			if member != h.primary && h.confirmed[member] >= p.Index {
-				votes++
-			}
-		}
-		if h.primary != "" {
+	if h.primary != "" {
+		votes++
+	}
+	for member, confirmed := range h.confirmed {
+		if member != h.primary && confirmed >= index {
 			votes++
 		}
 	}
-	if votes >= group.Majority(c.members) {
+	return votes >= group.Majority(c.members)
+}
+
+func (c *Commits) decide(p group.Position) Result {
+	if h := c.terms[p.Term]; h != nil && c.hasMajority(h, p.Index) {
 		return Acknowledged
 	}
 	result := Undecided
@@ -145,13 +157,7 @@
 // isConfirmed reports whether a majority has confirmed the first entry of the
 // term. Every later term then contains the term's history.
 func (c *Commits) isConfirmed(h *history) bool {
-	votes := 0
-	for _, index := range h.confirmed {
-		if index >= h.start {
-			votes++
-		}
-	}
-	return h.started && votes >= group.Majority(c.members)
+	return h.started && c.hasMajority(h, h.start)
 }
 
 // inHistory decides p by the confirmed history that h begins, going back over
--- a/pkg/backend/confirm.go
+++ b/pkg/backend/confirm.go
@@ -68,13 +68,17 @@
 	delete(c.results, id)
 }
 
-func (c *confirmer) observe(s group.Status) {
+// observe records a status, and reports whether it is the one that confirms the
+// first entry of the member's term.
+func (c *confirmer) observe(s group.Status) (confirmsTerm bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := c.commits.Confirmed(s.CurrentTerm)
 	for _, o := range c.commits.Observe(s) {
 		c.results[o.ID] <- o.Result
 		delete(c.results, o.ID)
 	}
+	return !before && c.commits.Confirmed(s.CurrentTerm)
 }
 
 func (c *confirmer) setPrimary(term uint64, member string) {
@@ -83,6 +87,12 @@
 	c.commits.SetPrimary(term, member)
 }
 
+func (c *confirmer) confirmed(term uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.commits.Confirmed(term)
+}
+
 func (c *confirmer) target(member string) (group.Position, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/backend/group.go
+++ b/pkg/backend/group.go
@@ -129,9 +129,12 @@
 
 // observe records a status that was asked for at askedAt.
 func (g *Group) observe(m *member, s group.Status, askedAt time.Time) {
-	g.confirmer.observe(s)
+	confirmsTerm := g.confirmer.observe(s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if confirmsTerm {
+		g.broadcast(&g.viewChanged)
+	}
 	g.ages.Observe(s, askedAt)
 	if askedAt.Before(m.askedAt) || askedAt.Before(m.validFrom) {
 		return
@@ -140,8 +143,7 @@
 	g.closeIdle(m, func(p *pooled) bool {
 		return p.incarnation != s.Incarnation && !p.openedAt.After(askedAt)
 	})
-	close(g.statusChanged)
-	g.statusChanged = make(chan struct{})
+	g.broadcast(&g.statusChanged)
 }
 
 func (g *Group) closedError() error {
--- a/pkg/backend/view.go
+++ b/pkg/backend/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/admission"
 	"github.com/mulberrysill/mulberrysill/core/consistency"
+	"github.com/mulberrysill/mulberrysill/core/group"
 )
 
 // View is what the control goroutine has decided about the group. The receiver
@@ -31,6 +32,7 @@
 func (g *Group) SetView(v View) {
 	if v.Primary != "" {
 		g.confirmer.setPrimary(v.Term, v.Primary)
+		g.confirmTerm(v)
 	}
 	now := time.Now()
 	g.mu.Lock()
@@ -52,10 +54,39 @@
 		g.openWarm(m, now)
 		g.dispatch(m)
 	}
-	close(g.viewChanged)
-	g.viewChanged = make(chan struct{})
-	close(g.statusChanged)
-	g.statusChanged = make(chan struct{})
+	g.broadcast(&g.viewChanged, &g.statusChanged)
+}
+
+// confirmTerm has the first entry of a new term confirmed without waiting for the
+// next probes, because floors of older terms are served only then.
+func (g *Group) confirmTerm(v View) {
+	first := group.Position{Term: v.Term, Index: v.TermStart}
+	if g.ctx.Err() != nil || first.Index == 0 || g.confirmer.confirmed(v.Term) {
+		return
+	}
+	g.kickProbes()
+	g.running.Add(1)
+	go func() {
+		defer g.running.Done()
+		if err := g.Confirm(g.ctx, first); err == nil {
+			g.wake()
+		}
+	}()
+}
+
+// wake makes all requests that wait for a member choose again.
+func (g *Group) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broadcast(&g.viewChanged, &g.statusChanged)
+}
+
+// broadcast wakes what waits for a change. The caller holds g.mu.
+func (g *Group) broadcast(changes ...*chan struct{}) {
+	for _, c := range changes {
+		close(*c)
+		*c = make(chan struct{})
+	}
 }
 
 // moveWaiters makes the requests choose again whose member may no longer get
@@ -86,7 +117,9 @@
 
 // term returns the view's term. The caller holds g.mu.
 func (g *Group) term() consistency.Term {
-	return consistency.Term{Primary: g.view.Primary, Number: g.view.Term, Start: g.view.TermStart}
+	return consistency.Term{
+		Primary: g.view.Primary, Number: g.view.Term, Confirmed: g.confirmer.confirmed(g.view.Term),
+	}
 }
 
 // upkeep keeps the pools within their budgets, closes idle connections that the
