--- /dev/null
+++ b/pkg/entry/entry_test.go
@@ -0,0 +1,233 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/twitchtv/twirp"
+
+	"github.com/mulberrysill/mulberrysill/core/bundle"
+	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/pkg/config"
+	"github.com/mulberrysill/mulberrysill/pkg/entry"
+	"github.com/mulberrysill/mulberrysill/pkg/logging"
+	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
+	pb "github.com/mulberrysill/mulberrysill/rpc/platform"
+	"github.com/mulberrysill/mulberrysill/standin/member"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+// memoryPlatform is the platform without faults or limits.
+type memoryPlatform struct {
+	pb.Platform
+	mu        sync.Mutex
+	rows      map[string]*pb.Row
+	objects   map[string][]byte
+	instances map[string]*pb.Instance
+}
+
+func (m *memoryPlatform) GetRow(_ context.Context, r *pb.GetRowRequest) (*pb.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if row := m.rows[r.Key]; row != nil {
+		return row, nil
+	}
+	return &pb.Row{Key: r.Key}, nil
+}
+
+func (m *memoryPlatform) ListRows(_ context.Context, r *pb.ListRowsRequest) (*pb.ListRowsResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answer := &pb.ListRowsResponse{}
+	for k, row := range m.rows {
+		if strings.HasPrefix(k, r.Prefix) {
+			answer.Rows = append(answer.Rows, row)
+		}
+	}
+	return answer, nil
+}
+
+func (m *memoryPlatform) Transact(_ context.Context, r *pb.TransactRequest) (*pb.TransactResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range r.Writes {
+		if m.rows[w.Key].GetVersion() != w.ExpectedVersion {
+			return nil, twirp.NewError(twirp.FailedPrecondition, "version")
+		}
+	}
+	answer := &pb.TransactResponse{}
+	for _, w := range r.Writes {
+		if w.Remove {
+			delete(m.rows, w.Key)
+			continue
+		}
+		m.rows[w.Key] = &pb.Row{Key: w.Key, Value: w.Value, Version: w.ExpectedVersion + 1}
+		answer.Rows = append(answer.Rows, m.rows[w.Key])
+	}
+	return answer, nil
+}
+
+func (m *memoryPlatform) PutObject(_ context.Context, r *pb.PutObjectRequest) (*pb.PutObjectResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	digest := bundle.Digest(r.Data)
+	m.objects[digest] = r.Data
+	return &pb.PutObjectResponse{Digest: digest}, nil
+}
+
+func (m *memoryPlatform) GetObject(_ context.Context, r *pb.GetObjectRequest) (*pb.GetObjectResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &pb.GetObjectResponse{Data: m.objects[r.Digest]}, nil
+}
+
+func (m *memoryPlatform) ListInstances(context.Context, *pb.ListInstancesRequest) (*pb.ListInstancesResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answer := &pb.ListInstancesResponse{}
+	for _, i := range m.instances {
+		answer.Instances = append(answer.Instances, i)
+	}
+	return answer, nil
+}
+
+func (m *memoryPlatform) RegisterInstance(_ context.Context, i *pb.Instance) (*pb.RegisterInstanceResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[i.Id] = i
+	return &pb.RegisterInstanceResponse{}, nil
+}
+
+func must[T any](v T, err error) T {
+	GinkgoHelper()
+	Expect(err).NotTo(HaveOccurred())
+	return v
+}
+
+var _ = Describe("the whole path", func() {
+	It("serves a write and reads it back on another instance", func(ctx SpecContext) {
+		dir := GinkgoT().TempDir()
+		store := &memoryPlatform{rows: map[string]*pb.Row{}, objects: map[string][]byte{}, instances: map[string]*pb.Instance{}}
+		web := httptest.NewServer(pb.NewPlatformServer(store))
+		DeferCleanup(web.Close)
+
+		spec := bundle.Spec{Version: 1}
+		key := "a-key-of-the-workspace-utileria"
+		verifier := must(bundle.NewKey("k1", key, []byte("0123456789abcdef")))
+		spec.Workspaces = []bundle.Workspace{{Name: "utileria", Rate: 1000, Burst: 200, Keys: []bundle.Key{verifier}}}
+		spec.Routes = []bundle.Route{{Name: "inventario", Group: "g1", Database: "inventario", Access: bundle.ReadWrite, Workspaces: []string{"utileria"}}}
+		g := bundle.Group{Name: "g1"}
+		fellows := map[string]*member.Member{}
+		for i, zone := range []string{"escazu", "heredia", "cartago"} {
+			spec.Zones = append(spec.Zones, bundle.Zone{Name: zone, InService: true})
+			spec.BackendServers = append(spec.BackendServers, bundle.BackendServer{Name: "db-" + zone, Zone: zone, InService: true})
+			role := group.Replica
+			if i == 0 {
+				role = group.Primary
+			}
+			name := fmt.Sprintf("g1-%d", i)
+			fellows[name] = must(member.Start(member.Options{Group: "g1", Name: name, Role: role}))
+			DeferCleanup(fellows[name].Close)
+			g.Members = append(g.Members, bundle.Member{Name: name, Server: "db-" + zone, Address: fellows[name].Addr(), Connections: 20, Slots: 3})
+		}
+		addresses := map[string]string{}
+		for name, m := range fellows {
+			addresses[name] = m.ReplicationAddr()
+		}
+		for name, m := range fellows {
+			others := maps.Clone(addresses)
+			delete(others, name)
+			m.SetFellows(others)
+		}
+		spec.Groups = []bundle.Group{g}
+
+		public, private, err := ed25519.GenerateKey(rand.Reader)
+		Expect(err).NotTo(HaveOccurred())
+		secret := filepath.Join(dir, "secret")
+		Expect(os.WriteFile(secret, []byte(strings.Repeat("s", 40)), 0o600)).To(Succeed())
+		entries := []*entry.Entry{}
+		runCtx, stop := context.WithCancel(context.Background())
+		done := sync.WaitGroup{}
+		for i := range 2 {
+			settings := must(config.Parse("test", []byte(fmt.Sprintf(`id: entry-%d
+zone: escazu
+clientAddress: 127.0.0.1:0
+peerAddress: 127.0.0.1:0
+adminAddress: 127.0.0.1:0
+metricsAddress: 127.0.0.1:0
+platformURL: %s
+trustedKeys: {ana: %s}
+sessionTokenKeyFile: %s
+peerSecretFile: %s
+adminTokenFile: %s
+`, i, web.URL, base64.StdEncoding.EncodeToString(public), secret, secret, secret))))
+			log := must(logging.New(GinkgoWriter, "debug", settings.ID, settings.Zone))
+			e := must(entry.New(settings, config.Secrets{
+				SessionTokenKey: []byte(strings.Repeat("s", 40)), PeerSecret: []byte(strings.Repeat("p", 40)),
+				AdminToken: "token", TrustedKeys: map[string]ed25519.PublicKey{"ana": public},
+			}, log))
+			entries = append(entries, e)
+			done.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer done.Done()
+				Expect(e.Run(runCtx)).To(Succeed())
+			}()
+		}
+		DeferCleanup(func() { stop(); done.Wait() })
+
+		signed := must(bundle.Sign(must(yaml.Marshal(spec)), "ana", private))
+		api := adminpb.NewAdminProtobufClient("http://"+entries[0].AdminAddress(), http.DefaultClient)
+		header := http.Header{"Authorization": []string{"Bearer token"}}
+		adminCtx := must(twirp.WithHTTPRequestHeaders(ctx, header))
+		answer := must(api.Publish(adminCtx, &adminpb.PublishRequest{Signed: signed, PublishId: "p1"}))
+		Expect(answer.Conflict).To(BeFalse())
+		Eventually(func(g Gomega) {
+			s, err := api.FleetStatus(adminCtx, &adminpb.StatusRequest{})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Accepted).To(BeTrue())
+		}).WithTimeout(10 * time.Second).Should(Succeed())
+
+		connect := func(e *entry.Entry) *pgx.Conn {
+			url := fmt.Sprintf("postgres://utileria:%s@%s/inventario?sslmode=disable", key, e.ClientAddress())
+			var conn *pgx.Conn
+			Eventually(func(g Gomega) {
+				c, err := pgx.Connect(ctx, url)
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = c.Exec(ctx, "SELECT 1")
+				g.Expect(err).NotTo(HaveOccurred())
+				conn = c
+			}).WithTimeout(10 * time.Second).Should(Succeed())
+			return conn
+		}
+		a := connect(entries[0])
+		must(a.Exec(ctx, "CREATE TABLE item (id int primary key, name text)"))
+		must(a.Exec(ctx, "INSERT INTO item VALUES ($1, $2)", 1, "armoire"))
+		b := connect(entries[1])
+		tx := must(b.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly}))
+		var name string
+		Expect(tx.QueryRow(ctx, "SELECT name FROM item WHERE id = $1", 1).Scan(&name)).To(Succeed())
+		Expect(name).To(Equal("armoire"))
+		Expect(tx.Commit(ctx)).To(Succeed())
+	}, SpecTimeout(60*time.Second))
+})
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -37,7 +38,10 @@
 
 // New returns the metrics of an instance.
 func New(instance, zone string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several instances run in one process, as
+	// tests do; the default registry is shared by the whole process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "mulberrysill", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
 		Tags:            map[string]string{"instance": instance, "zone": zone},
