Test the relay of the frontend against the member stand-in

The relay had no test. The tests run pgx against the frontend before one in-process member and check pooling, held acknowledgements, verdicts of lost connections, floors and rate refusals. A connection setup is bounded by 1 s, so that two attempts at a paused member stay below the hold time of writes.

--- /dev/null
+++ b/pkg/frontend/relay_test.go
@@ -0,0 +1,257 @@
+package frontend
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/verdict"
+)
+
+var _ = Describe("relay", func() {
+	// Guards against answers that are lost, mixed or left open by pooling.
+	It("relays simple and extended queries and releases after each transaction", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		st.exec(conn, "INSERT INTO t (id, v) VALUES (1, 'a')")
+		st.exec(conn, "INSERT INTO t (id, v) VALUES ($1, $2)", 2, "b")
+		Expect(queryInt(conn, "SELECT count(*) FROM t WHERE id > $1", 0)).To(Equal(2))
+		st.idle()
+		tx, err := conn.Begin(testContext())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tx.Exec(testContext(), "INSERT INTO t (id, v) VALUES ($1, $2)", 3, "c")
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(func() int { n, _ := st.group.count(); return n }).WithTimeout(50 * time.Millisecond).Should(Equal(1))
+		Expect(tx.Rollback(testContext())).To(Succeed())
+		st.idle()
+		Expect(queryInt(conn, "SELECT count(*) FROM t")).To(Equal(2))
+		_, err = conn.Exec(testContext(), "SELECT nothing FROM t")
+		Expect(pgError(err).Severity).To(Equal("ERROR"))
+		Expect(queryInt(conn, "SELECT count(*) FROM t")).To(Equal(2))
+		st.idle()
+	})
+
+	It("relays batches, COPY in both directions and large rows", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		batch := &pgx.Batch{}
+		for i := range 500 {
+			batch.Queue("INSERT INTO t (id, v) VALUES ($1, $2)", i, strings.Repeat("x", i*40))
+		}
+		Expect(conn.SendBatch(testContext(), batch).Close()).To(Succeed())
+		Expect(queryInt(conn, "SELECT sum(length(v)) FROM t")).To(Equal(40 * 499 * 500 / 2))
+		rows, err := conn.Query(testContext(), "SELECT v FROM t ORDER BY id")
+		Expect(err).NotTo(HaveOccurred())
+		texts, err := pgx.CollectRows(rows, pgx.RowTo[string])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(texts).To(HaveLen(500))
+		Expect(texts[499]).To(HaveLen(499 * 40))
+		var out strings.Builder
+		tag, err := conn.PgConn().CopyTo(testContext(), &out, "COPY t TO STDOUT")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tag.RowsAffected()).To(BeEquivalentTo(500))
+		st.exec(conn, "DELETE FROM t")
+		tag, err = conn.PgConn().CopyFrom(testContext(), strings.NewReader(out.String()), "COPY t FROM STDIN")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tag.RowsAffected()).To(BeEquivalentTo(500))
+		st.idle()
+	})
+
+	// Guards against a commit that the client sees before a majority has it.
+	DescribeTable("holds the acknowledgement until it is confirmed", func(run func(context.Context, *pgx.Conn) error) {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		release := make(chan struct{})
+		st.group.confirm = func(context.Context, group.Position) error { <-release; return nil }
+		done := make(chan error, 1)
+		go func() { done <- run(testContext(), conn) }()
+		Consistently(done).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		close(release)
+		Eventually(done).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+		token := conn.PgConn().ParameterStatus("mulberry.token")
+		Expect(token).To(HavePrefix("g/loja/1:"))
+		Expect(conn.PgConn().ParameterStatus(group.ParamPosition)).To(BeEmpty())
+		st.idle()
+	},
+		Entry("simple", func(ctx context.Context, c *pgx.Conn) error {
+			_, err := c.Exec(ctx, "INSERT INTO t (id) VALUES (1)")
+			return err
+		}),
+		Entry("extended, where the position follows CommandComplete", func(ctx context.Context, c *pgx.Conn) error {
+			_, err := c.Exec(ctx, "INSERT INTO t (id) VALUES ($1)", 1)
+			return err
+		}),
+		Entry("transaction", func(ctx context.Context, c *pgx.Conn) error {
+			return pgx.BeginFunc(ctx, c, func(tx pgx.Tx) error {
+				_, err := tx.Exec(ctx, "INSERT INTO t (id) VALUES ($1)", 1)
+				return err
+			})
+		}),
+	)
+
+	// Guards against a refusal of a commit that leaves the client in doubt, or
+	// a connection whose state is not known in the pool.
+	DescribeTable("reports a commit that is not confirmed", func(v verdict.Verdict, code verdict.Code, survives bool) {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		_, before := st.group.count()
+		st.group.confirm = func(context.Context, group.Position) error { return verdict.New(v, code, "changed") }
+		_, err := conn.Exec(testContext(), "INSERT INTO t (id) VALUES ($1)", 1)
+		e := pgError(err)
+		Expect(e.Code).To(Equal(string(code)))
+		Expect(e.Message).To(ContainSubstring("(" + v.String() + ")"))
+		Expect(e.Detail).To(MatchRegexp("^verdict: " + v.String() + "; request: i1-"))
+		Eventually(func() int { _, n := st.group.count(); return n }).Should(Equal(before + 1))
+		st.group.confirm = nil
+		_, err = conn.Exec(testContext(), "SELECT 1")
+		Expect(err == nil).To(Equal(survives))
+	},
+		Entry("not run", verdict.NotRun, verdict.NoPrimary, true),
+		Entry("may have run", verdict.MayHaveRun, verdict.OutcomeUnknown, false),
+	)
+
+	// Guards against a verdict that invites a second run of a write.
+	It("states what a lost connection means", func() {
+		st := startStack(nil)
+		lose := func(sql ...string) error {
+			conn := st.connect("loja", "orders")
+			for _, q := range sql[:len(sql)-1] {
+				st.exec(conn, q)
+			}
+			done := make(chan error, 1)
+			go func() {
+				_, err := conn.Exec(testContext(), sql[len(sql)-1])
+				done <- err
+			}()
+			// The server has the statement once its bytes are outstanding.
+			Eventually(st.server.running).Should(Equal(1))
+			st.group.closeAttached(st.server)
+			var err error
+			Eventually(done).WithTimeout(5 * time.Second).Should(Receive(&err))
+			return err
+		}
+		// The pooled connection is reset after CREATE TABLE, which must not be
+		// what waits for the paused answers.
+		st.exec(st.connect("loja", "orders"), "SELECT 1")
+		st.members[0].PauseAnswers()
+		e := pgError(lose("INSERT INTO t (id) VALUES (1)"))
+		Expect(e.Code + e.Severity).To(Equal("08007FATAL"))
+		Expect(e.Message).To(HaveSuffix("(may have run)"))
+		st.members[0].ResumeAnswers()
+
+		e = pgError(lose("BEGIN", "SELECT sleep_ms(3000)"))
+		Expect(e.Code + e.Severity).To(Equal("08006FATAL"))
+		Expect(e.Message).To(Equal("the server connection was lost; the transaction was rolled back (not run)"))
+
+		e = pgError(lose("SET default_transaction_read_only = on", "SELECT sleep_ms(3000)"))
+		Expect(e.Code + e.Severity).To(Equal("08006ERROR"))
+		Expect(e.Message).To(HaveSuffix("(not run)"))
+	})
+
+	It("tries another connection when the first takes no byte", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		st.group.mu.Lock()
+		st.group.dead = 1
+		st.group.mu.Unlock()
+		st.exec(conn, "INSERT INTO t (id) VALUES (1)")
+		Expect(queryInt(conn, "SELECT count(*) FROM t")).To(Equal(1))
+	})
+
+	// Guards against reads that are inferred from SQL text, or that ignore the
+	// session's own writes.
+	It("declares reads and carries the floor", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		_, err := conn.Exec(testContext(), "SELECT 1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.group.lastRequest().Read).To(BeFalse())
+		tx, err := conn.BeginTx(testContext(), pgx.TxOptions{AccessMode: pgx.ReadOnly})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.group.lastRequest().Read).To(BeTrue())
+		Expect(st.group.lastRequest().Floor).To(Equal(group.Position{Term: 1, Index: 1}))
+		Expect(tx.Commit(testContext())).To(Succeed())
+		st.exec(conn, "INSERT INTO t (id) VALUES (1)")
+		st.exec(conn, "SET default_transaction_read_only = on")
+		st.exec(conn, "SET mulberry.max_age = '250ms'")
+		Expect(queryInt(conn, "SELECT count(*) FROM t")).To(Equal(1))
+		r := st.group.lastRequest()
+		Expect(r.Read).To(BeTrue())
+		Expect(r.Floor.Index).To(BeNumerically(">", 1))
+		Expect(r.MaxAge).To(Equal(250 * time.Millisecond))
+		var token string
+		Expect(conn.QueryRow(testContext(), "SHOW mulberry.token").Scan(&token)).To(Succeed())
+		Expect(token).To(Equal("g/loja/" + r.Floor.String()))
+
+		other, err := st.try(st.url("loja", "reports", "&options=-c%20mulberry.token%3D"+strings.ReplaceAll(token, "/", "%2F")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(queryInt(other, "SELECT count(*) FROM t")).To(Equal(1))
+		Expect(st.group.lastRequest().Floor).To(Equal(r.Floor))
+		_, err = other.Exec(testContext(), "INSERT INTO t (id) VALUES (2)")
+		Expect(pgError(err).Code).To(Equal("25006"))
+		_, err = other.Exec(testContext(), "SET default_transaction_read_only = off")
+		Expect(pgError(err).Code).To(Equal("25006"))
+		_, err = other.Exec(testContext(), "SET mulberry.token = 'forged'")
+		Expect(pgError(err).Code).To(Equal("22023"))
+	})
+
+	It("refuses requests over the rate with a wait hint and goes on", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		before := st.policy.admitted.Load()
+		st.exec(conn, "SELECT 1")
+		Expect(st.policy.admitted.Load() - before).To(BeEquivalentTo(1))
+		st.policy.refusal.Store(verdict.New(verdict.NotRun, verdict.OverRate, "over the rate").WithRetryAfter(120 * time.Millisecond))
+		for _, args := range [][]any{nil, {1}} {
+			sql := "SELECT 1"
+			if args != nil {
+				sql = "SELECT $1"
+			}
+			_, err := conn.Exec(testContext(), sql, args...)
+			e := pgError(err)
+			Expect(e.Code).To(Equal("53400"))
+			Expect(e.Hint).To(Equal("Retry after 120 ms."))
+		}
+		st.policy.refusal.Store(nil)
+		st.exec(conn, "SELECT 1")
+	})
+
+	// Guards against transactions of clients that are gone, which hold locks.
+	It("leaves no transaction of a client that vanishes", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		st.exec(conn, "BEGIN")
+		st.exec(conn, "INSERT INTO t (id) VALUES (1)")
+		Expect(conn.PgConn().Conn().Close()).To(Succeed())
+		st.idle()
+		other := st.connect("loja", "orders")
+		st.exec(other, "INSERT INTO t (id) VALUES (1)")
+	})
+})
+
+// running counts sessions with an outstanding answer.
+func (s *Server) running() int {
+	n := 0
+	for _, sess := range s.snapshot() {
+		sess.mu.Lock()
+		if sess.att != nil && sess.att.sent && sess.pending.len() > 0 {
+			n++
+		}
+		sess.mu.Unlock()
+	}
+	return n
+}
+
+// closeAttached breaks the server connections that sessions hold.
+func (g *testGroup) closeAttached(server *Server) {
+	for _, s := range server.snapshot() {
+		if a := s.current(); a != nil {
+			a.conn.NetConn().Close()
+		}
+	}
+}
--- a/pkg/frontend/request.go
+++ b/pkg/frontend/request.go
@@ -13,8 +13,9 @@
 	// maxSharedRequests bounds the requests that a pipeline runs on one
 	// attachment, so that other sessions get their turn.
 	maxSharedRequests = 32
-	// setupTimeout bounds DISCARD ALL and the replay of settings.
-	setupTimeout = 5 * time.Second
+	// setupTimeout bounds DISCARD ALL and the replay of settings, which take no
+	// slot of the member. Two attempts stay far below the 8 s of a held write.
+	setupTimeout = time.Second
 )
 
 // prediction is the transaction state after everything that was sent.
