--- a/pkg/frontend/suite_test.go
+++ b/pkg/frontend/suite_test.go
@@ -107,7 +107,6 @@
 	pid        uint32
 	secret     []byte
 	params     map[string]string
-	read       bool
 }
 
 func (c *testConn) Frontend() *pgproto3.Frontend        { return c.fe }
