--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -54,6 +54,9 @@
 	readBackAfter = 100 * time.Millisecond
 	// readUrgent is the period of reads while joining, releasing or retiring.
 	readUrgent = 500 * time.Millisecond
+	// readShort is the period of reads while the own units are below the even
+	// part, so that units that others release are claimed soon.
+	readShort = time.Second
 	// readRelaxed is the period of reads in steady state.
 	readRelaxed = 5 * time.Second
 	// reclaimStagger separates the reclaimers of adjacent ranks.
@@ -239,6 +242,8 @@
 		return readBackAfter
 	case l.own == nil || len(l.cases) > 0 || !l.givenUp.IsZero():
 		return readUrgent
+	case !l.leaving && l.own.Units+l.own.Units/releaseSlack < l.evenPart():
+		return readShort
 	default:
 		return readRelaxed
 	}
