--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -151,7 +151,8 @@
 // recompute derives rate, burst and expiry after a change of share or loans.
 // Tokens above the new burst are lost.
 func (b *Bucket) recompute() {
-	b.rate, b.burst = b.ownPart()
+	rate, burst := b.ownPart()
+	b.rate, b.burst = max(0, rate), max(0, burst)
 	b.expiry = time.Time{}
 	for i := range b.borrowed {
 		b.rate += b.borrowed[i].rate
@@ -170,14 +171,16 @@
 	}
 }
 
-// ownPart returns the own share of rate and burst without what is lent.
+// ownPart returns the own share of rate and burst without what is lent. It is
+// negative while loans of units that were given up since still run; such loans
+// are not renewed.
 func (b *Bucket) ownPart() (rate, burst float64) {
 	rate, burst = share(b.limit.Rate, b.units), share(b.limit.Burst, b.units)
 	for i := range b.lent {
 		rate -= b.lent[i].rate
 		burst -= b.lent[i].burst
 	}
-	return max(0, rate), max(0, burst)
+	return rate, burst
 }
 
 // borrowedPart returns the borrowed rate.
--- a/core/limits/experiment/fleet.go
+++ b/core/limits/experiment/fleet.go
@@ -36,8 +36,8 @@
 	// OnAdmit is called at each admission.
 	OnAdmit func(n *Node, limit string)
 
-	order  []string
-	nodes  map[string]*Node
+	order []string
+	nodes map[string]*Node
 	// processes holds every process that was ever started.
 	processes []*Node
 	// retired holds the rows that another process removed.
--- a/core/limits/experiment/node.go
+++ b/core/limits/experiment/node.go
@@ -20,8 +20,8 @@
 
 // Node is one simulated instance.
 type Node struct {
-	fleet   *Fleet
-	ID      string
+	fleet *Fleet
+	ID    string
 	// process is the key of the first row of the process.
 	process string
 	lease   *lease.Lease
--- a/core/limits/lend.go
+++ b/core/limits/lend.go
@@ -70,7 +70,7 @@
 	}
 	if b.yields(e) {
 		return Grant{
-			Rate: min(maxRate, ownRate), Burst: min(maxBurst, ownBurst),
+			Rate: max(0, min(maxRate, ownRate)), Burst: max(0, min(maxBurst, ownBurst)),
 			Tokens: min(e.Tokens, b.tokens),
 		}
 	}
