Keep the member's control calls and replication prompt

Opening a session's database held the lock that control calls need, so a slow open would have made a primary look dead. Replicas slept through sleep_ms again, which held up everything behind it. A silent replication link was given up only after 60 s; heartbeats come every 50 ms, so 2 s of silence now end it.

--- a/standin/member/contract_test.go
+++ b/standin/member/contract_test.go
@@ -179,6 +179,17 @@
 		caughtUp(members[2], group.Position{Index: p.Index + 1})
 	})
 
+	// Guards against a slow statement that holds up every replica once more.
+	It("does not repeat the sleep of a replicated statement", func() {
+		members := startThree(member.Options{})
+		c := connect(members[0])
+		exec(c, "CREATE TABLE t (n INTEGER)")
+		exec(c, "INSERT INTO t VALUES (sleep_ms(400))")
+		committed := time.Now()
+		caughtUp(members[1], position(c))
+		Expect(time.Since(committed)).To(BeNumerically("<", 300*time.Millisecond))
+	})
+
 	// Guards against a promise or a log that a restart forgets.
 	It("keeps promise and log over a restart and changes its incarnation", func() {
 		dir := GinkgoT().TempDir()
--- a/standin/member/database.go
+++ b/standin/member/database.go
@@ -21,6 +21,9 @@
 	conn liteConn
 	// key identifies the connection inside user-defined functions.
 	key uintptr
+	// replaying makes sleep_ms return at once: a replica repeats what a slow
+	// statement changed, not how long it took.
+	replaying bool
 	// running is the context of the statement in progress.
 	running atomic.Pointer[context.Context]
 	// counters and schema read the change counters and the schema version.
@@ -230,6 +233,9 @@
 	}
 	var cancelled <-chan struct{}
 	if d, ok := databases.Load(connectionKey(fc)); ok {
+		if d.(*database).replaying {
+			return n, nil
+		}
 		if ctx := d.(*database).running.Load(); ctx != nil {
 			cancelled = (*ctx).Done()
 		}
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -64,7 +64,8 @@
 	nextID uint32
 	// upstream is the replication connection whose entries are accepted.
 	upstream net.Conn
-	// anchor keeps the database in WAL mode while no session is connected.
+	// anchor is the applier's connection. It keeps the database open while no
+	// session is connected, and is used under writeLock.
 	anchor *database
 }
 
--- a/standin/member/replication.go
+++ b/standin/member/replication.go
@@ -19,9 +19,12 @@
 	// redialEvery is the pause after a failed or refused connection.
 	redialEvery = 50 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
-	// stallTimeout ends a connection on which nothing moves. It covers the
-	// rebuild of a member's database.
-	stallTimeout = 60 * time.Second
+	// silenceTimeout ends a connection on which an expected message does not
+	// arrive, so that a cut link is found and replaced. Heartbeats come far
+	// more often.
+	silenceTimeout = 2 * time.Second
+	// rebuildTimeout bounds the wait for a member that rebuilds its database.
+	rebuildTimeout = 60 * time.Second
 )
 
 type messageKind uint8
@@ -70,19 +73,19 @@
 }
 
 func (l *peerLink) send(msg message) error {
-	_ = l.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
+	_ = l.conn.SetWriteDeadline(time.Now().Add(silenceTimeout))
 	return l.enc.Encode(msg)
 }
 
-func (l *peerLink) receive() (message, error) {
-	_ = l.conn.SetReadDeadline(time.Now().Add(stallTimeout))
+func (l *peerLink) receive(timeout time.Duration) (message, error) {
+	_ = l.conn.SetReadDeadline(time.Now().Add(timeout))
 	var msg message
 	err := l.dec.Decode(&msg)
 	return msg, err
 }
 
-func (l *peerLink) expect(kind messageKind) (message, error) {
-	msg, err := l.receive()
+func (l *peerLink) expect(kind messageKind, timeout time.Duration) (message, error) {
+	msg, err := l.receive(timeout)
 	if err == nil && msg.Kind != kind {
 		err = errors.Newf("replication message of kind %d, want %d", msg.Kind, kind)
 	}
@@ -157,7 +160,7 @@
 	if err := link.send(hello); err != nil {
 		return 0, err
 	}
-	accepted, err := link.expect(messageAccept)
+	accepted, err := link.expect(messageAccept, silenceTimeout)
 	if err != nil {
 		return 0, err
 	}
@@ -167,7 +170,7 @@
 	if err := link.send(message{Kind: messageResume, Index: common}); err != nil {
 		return 0, err
 	}
-	_, err = link.expect(messageReady)
+	_, err = link.expect(messageReady, rebuildTimeout)
 	return common + 1, err
 }
 
@@ -234,7 +237,7 @@
 // follow receives entries from one primary.
 func (m *Member) follow(conn net.Conn) error {
 	link := newPeerLink(conn)
-	hello, err := link.expect(messageHello)
+	hello, err := link.expect(messageHello, silenceTimeout)
 	if err != nil {
 		return err
 	}
@@ -250,7 +253,7 @@
 	if err := link.send(answer); err != nil {
 		return err
 	}
-	resume, err := link.expect(messageResume)
+	resume, err := link.expect(messageResume, silenceTimeout)
 	if err != nil {
 		return err
 	}
@@ -261,7 +264,7 @@
 		return err
 	}
 	for {
-		msg, err := link.receive()
+		msg, err := link.receive(silenceTimeout)
 		if err != nil {
 			return err
 		}
--- a/standin/member/session.go
+++ b/standin/member/session.go
@@ -24,9 +24,11 @@
 	conn    net.Conn
 	be      *pgproto3.Backend
 	control bool
-	db      *database
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// path is the file of db, which is nil on a control connection.
+	path   string
+	db     *database
+	ctx    context.Context
+	cancel context.CancelFunc
 	// done is closed when the session has released everything.
 	done chan struct{}
 
@@ -82,12 +84,15 @@
 	}
 	s.control = startup[group.ParamControl] == "on"
 	incarnation, err := s.register()
+	if err == nil {
+		defer s.unregister()
+		err = s.openDatabase()
+	}
 	if err != nil {
 		s.be.Send(asPGError(err).response())
 		_ = s.flush()
 		return
 	}
-	defer s.unregister()
 	if err := s.open(startup, incarnation); err != nil {
 		return
 	}
@@ -149,11 +154,7 @@
 		if ordinary >= m.opts.MaxConnections {
 			return 0, fatalError(codeTooManyConnections, "sorry, too many clients already")
 		}
-		db, err := openDatabase(m.databasePath())
-		if err != nil {
-			return 0, fatalError(codeInternal, "%s", err.Error())
-		}
-		s.db = db
+		s.path = m.databasePath()
 	}
 	m.nextID++
 	s.id = m.nextID
@@ -163,6 +164,21 @@
 	return m.state.Incarnation, nil
 }
 
+// openDatabase opens the database that the session found when it registered. A
+// rebuild waits for registered sessions, so the file stays. Opening takes
+// milliseconds, so it must not hold up the control calls, which need mu.
+func (s *session) openDatabase() error {
+	if s.control {
+		return nil
+	}
+	db, err := openDatabase(s.path)
+	if err != nil {
+		return fatalError(codeInternal, "%s", err.Error())
+	}
+	s.db = db
+	return nil
+}
+
 // unregister rolls back and releases what the session holds.
 func (s *session) unregister() {
 	s.abandonTransaction()
--- a/standin/member/state.go
+++ b/standin/member/state.go
@@ -102,7 +102,7 @@
 // logged, so it is rebuilt.
 func (m *Member) openApplied() error {
 	var err error
-	if m.anchor, err = openDatabase(m.databasePath()); err != nil {
+	if err = m.openAnchor(); err != nil {
 		return err
 	}
 	if m.applied, err = m.anchor.appliedIndex(); err != nil {
@@ -130,7 +130,15 @@
 	}
 	removeDatabase(m.databasePath())
 	m.applied = 0
-	var err error
-	m.anchor, err = openDatabase(m.databasePath())
-	return err
+	return m.openAnchor()
+}
+
+func (m *Member) openAnchor() error {
+	db, err := openDatabase(m.databasePath())
+	if err != nil {
+		return err
+	}
+	db.replaying = true
+	m.anchor = db
+	return nil
 }
