Repeat checks at the point of effect and copy messages before the release

ReadyForQuery was encoded after its connection went back to the pool, where another session's read changed it (found by the race detector). It is copied first now. The key and the instance are checked again after the wait for a connection. A NotRun verdict in a pipeline becomes MayHaveRun when later requests were sent that can commit. LISTEN is refused, a token is charged once when a pipeline's attachment ends, large messages are not copied, and causes that may quote a client's secret are no longer logged.

--- a/pkg/frontend/auth.go
+++ b/pkg/frontend/auth.go
@@ -63,10 +63,12 @@
 		return identity{tenant: bundle.OpenLimitPrefix + r.Name, route: r.Name, open: true}, nil
 	}
 	workspace, keyID, _ := strings.Cut(user, ".")
+	// The mock is always computed, so that the time does not tell users apart.
+	mock := s.srv.mockVerifier(b, user)
 	v := b.Verifier(workspace, keyID)
 	known := v != nil
 	if !known {
-		v = s.srv.mockVerifier(b, user)
+		v = mock
 	}
 	if err := s.scram(v, known); err != nil {
 		return identity{}, err
@@ -102,7 +104,8 @@
 	conversation := exchange.NewConversation()
 	answer, err := conversation.Step(string(first.Data))
 	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.ProtocolViolation, "malformed SCRAM message").WithCause(err)
+		// The library's error quotes the message, which may hold a password.
+		return verdict.New(verdict.NotRun, verdict.ProtocolViolation, "malformed SCRAM message")
 	}
 	if err := s.out.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)}); err != nil {
 		return err
--- a/pkg/frontend/extended.go
+++ b/pkg/frontend/extended.go
@@ -5,7 +5,6 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"github.com/mulberrysill/mulberrysill/core/bundle"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
 
@@ -45,8 +44,8 @@
 		return malformed("malformed Parse message")
 	}
 	st := newStatement(len(name) > 0, definition)
-	if st.class.readWrite && s.route.Access == bundle.ReadOnly {
-		return s.refuseInOrder(errReadRoute(), true)
+	if verr := s.unsupported(st.class); verr != nil {
+		return s.refuseInOrder(verr, true)
 	}
 	if st.own != nil {
 		return s.parseOwn(string(name), st)
--- a/pkg/frontend/outcome.go
+++ b/pkg/frontend/outcome.go
@@ -55,6 +55,11 @@
 	requests := s.pending.requests
 	open := s.pending.len() > 0 || a.skipping
 	survives := (requests == 1 && s.pending.endsWithRequest()) || (requests == 0 && open)
+	if v.Verdict == verdict.NotRun && a.sent && s.pending.laterMayCommit() {
+		// The verdict is about the first request only; the server can still run
+		// the next ones.
+		v = verdict.New(verdict.MayHaveRun, verdict.OutcomeUnknown, "%s; later requests of the pipeline were sent", v.Message).WithCause(v)
+	}
 	fatal := !acknowledged && (v.Fatal || !survives)
 	s.closing = s.closing || fatal
 	if !acknowledged && requests == 0 {
--- a/pkg/frontend/own.go
+++ b/pkg/frontend/own.go
@@ -73,7 +73,7 @@
 	}
 	p, err := s.srv.cfg.Tokens.Verify(value, s.route.Group, s.identity.tenant)
 	if err != nil {
-		return badValue(settingToken, "not a valid token of this workspace and group").WithCause(err)
+		return badValue(settingToken, "not a valid token of this workspace and group")
 	}
 	s.own.token = value
 	s.raiseFloor(p)
--- a/pkg/frontend/pending.go
+++ b/pkg/frontend/pending.go
@@ -1,5 +1,7 @@
 package frontend
 
+import "sync"
+
 // expectation is a message sent to the server whose answer is outstanding.
 type expectation uint8
 
@@ -39,16 +41,27 @@
 const (
 	// maxPending bounds a client's pipeline. An entry takes 48 bytes.
 	maxPending = 1 << 18
+	// pooledPending is the largest capacity that goes back to the pool, and
+	// pipelinePending that of a new queue for a pipeline.
+	pooledPending   = 1 << 12
+	pipelinePending = 256
 	// keepPending is the queue capacity that an idle session keeps.
 	keepPending = 32
 )
 
+var pendingPool = sync.Pool{New: func() any {
+	items := make([]pending, 0, pipelinePending)
+	return &items
+}}
+
 // pendingQueue holds outstanding answers in the order in which they will come.
 type pendingQueue struct {
 	items []pending
 	head  int
 	// requests is the number of outstanding ReadyForQuery messages.
 	requests int
+	// pooled is set while items is from the pool.
+	pooled *[]pending
 }
 
 func (q *pendingQueue) len() int { return len(q.items) - q.head }
@@ -59,12 +72,21 @@
 		clear(q.items[n:])
 		q.items, q.head = q.items[:n], 0
 	}
+	if len(q.items) == keepPending && cap(q.items) == keepPending {
+		q.spill()
+	}
 	q.items = append(q.items, p)
 	if p.kind.endsRequest() {
 		q.requests++
 	}
 }
 
+// spill moves the queue to pooled memory, so that pipelines do not allocate.
+func (q *pendingQueue) spill() {
+	q.pooled = pendingPool.Get().(*[]pending)
+	q.items = append((*q.pooled)[:0], q.items...)
+}
+
 // endsWithRequest reports whether nothing was sent after the last request.
 func (q *pendingQueue) endsWithRequest() bool {
 	return q.len() > 0 && q.items[len(q.items)-1].kind.endsRequest()
@@ -92,11 +114,16 @@
 }
 
 func (q *pendingQueue) reset() {
-	if cap(q.items) > keepPending {
-		q.items = nil
-	}
 	clear(q.items)
 	q.items, q.head, q.requests = q.items[:0], 0, 0
+	if cap(q.items) <= keepPending {
+		return
+	}
+	if q.pooled != nil && cap(q.items) <= pooledPending {
+		*q.pooled = q.items
+		pendingPool.Put(q.pooled)
+	}
+	q.items, q.pooled = make([]pending, 0, keepPending), nil
 }
 
 // skipToSync removes what the server ignores after an error in the extended
@@ -128,9 +155,21 @@
 
 // mayCommit reports whether an outstanding message can have made a change
 // permanent.
-func (q *pendingQueue) mayCommit() bool {
+func (q *pendingQueue) mayCommit() bool { return anyMayCommit(q.items[q.head:]) }
+
+// laterMayCommit is mayCommit of the requests after the first.
+func (q *pendingQueue) laterMayCommit() bool {
 	for i := q.head; i < len(q.items); i++ {
-		if q.items[i].mayCommit {
+		if q.items[i].kind.endsRequest() {
+			return anyMayCommit(q.items[i+1:])
+		}
+	}
+	return false
+}
+
+func anyMayCommit(items []pending) bool {
+	for i := range items {
+		if items[i].mayCommit {
 			return true
 		}
 	}
--- a/pkg/frontend/relay.go
+++ b/pkg/frontend/relay.go
@@ -304,11 +304,12 @@
 		s.changed.Broadcast()
 	}
 	s.mu.Unlock()
+	// m belongs to the connection, so it is copied before the release; the
+	// connection goes back before a slow client is written to.
+	s.out.append(m)
 	if release {
-		// The connection goes back before a slow client is written to.
 		a.conn.Release(reusable)
 	}
-	s.out.append(m)
 	err := s.out.flushIf(last || release)
 	s.out.mu.Unlock()
 	if !release {
--- a/pkg/frontend/request.go
+++ b/pkg/frontend/request.go
@@ -54,36 +54,58 @@
 	a.read, a.enforced = s.declaredRead(class)
 	ctx, done := s.beginWait()
 	defer done()
-	err := s.srv.cfg.Policy.Admit(ctx, s.identity.tenant)
+	var err error
+	if !s.prepaid {
+		err = s.srv.cfg.Policy.Admit(ctx, s.identity.tenant)
+	}
 	if err == nil && a.read {
 		err = s.sampleFloor(ctx)
 	}
+	s.prepaid = false
 	if err == nil {
 		err = s.acquire(ctx, a)
 	}
-	return s.waitError(err)
+	if err != nil {
+		return s.waitError(err)
+	}
+	// The wait can be long, and the process can have been paused in it.
+	if err := s.checkEffect(); err != nil {
+		a.conn.Release(true)
+		return err
+	}
+	return nil
 }
 
-// checkRequest checks the key, the route and the instance at the point of
-// effect.
+// checkRequest checks the key, the route and the instance before a request.
 func (s *session) checkRequest() error {
 	s.mu.Lock()
 	s.requests++
-	stopping, draining := s.stopping, s.draining
+	draining := s.draining
 	s.mu.Unlock()
-	if stopping != nil {
-		return stopping
-	}
 	if draining {
 		return errShuttingDown()
 	}
+	if err := s.checkEffect(); err != nil {
+		return err
+	}
 	if b := s.srv.cfg.Policy.Bundle(); b != s.bundle && b != nil {
+		return s.adopt(b)
+	}
+	return nil
+}
+
+// checkEffect repeats the checks at the point of effect.
+func (s *session) checkEffect() error {
+	s.mu.Lock()
+	stopping := s.stopping
+	s.mu.Unlock()
+	if stopping != nil {
+		return stopping
+	}
+	if b := s.srv.cfg.Policy.Bundle(); b != s.bundle {
 		if err := s.identity.check(b); err != nil {
 			return err
 		}
-		if err := s.adopt(b); err != nil {
-			return err
-		}
 	}
 	return s.srv.cfg.Policy.Serving()
 }
@@ -256,6 +278,7 @@
 		return nil, false, s.afterSettling(a, s.waitError(err))
 	}
 	a.shared++
+	s.prepaid = true
 	return a, true, nil
 }
 
@@ -311,6 +334,7 @@
 		a.skipping = false
 	}
 	s.pending.push(p)
+	s.prepaid = false
 	return true, nil
 }
 
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -57,6 +57,9 @@
 	ownBound     *statement
 	ownBoundName []byte
 
+	// prepaid says that a token was taken for a request that was not sent yet.
+	prepaid bool
+
 	// skip drops messages up to the next Sync, after an error of the proxy's own
 	// in the extended protocol.
 	skip atomic.Bool
--- a/pkg/frontend/simple.go
+++ b/pkg/frontend/simple.go
@@ -25,8 +25,8 @@
 			return err
 		}
 	}
-	if class.readWrite && s.route.Access == bundle.ReadOnly {
-		return s.refuseInOrder(errReadRoute(), false)
+	if verr := s.unsupported(class); verr != nil {
+		return s.refuseInOrder(verr, false)
 	}
 	setting, verr := s.settingOf(class, sql)
 	if verr != nil {
@@ -46,14 +46,38 @@
 			return err
 		}
 		if sent {
-			s.toServer.raw(f)
 			a.advance(class)
 			a.boundary = true
-			return nil
+			return s.pass(a, f)
 		}
 	}
 }
 
+// unsupported returns the refusal of a statement that the proxy does not pass
+// on, or nil. Notifications have no place in a pooled connection.
+func (s *session) unsupported(class statementClass) *verdict.Error {
+	switch {
+	case class.readWrite && s.route.Access == bundle.ReadOnly:
+		return errReadRoute()
+	case class.kind == kindListen:
+		return verdict.New(verdict.NotRun, verdict.FeatureNotSupported, "LISTEN is not supported under transaction pooling")
+	}
+	return nil
+}
+
+// pass sends a message as it is. A large one is not copied once the relay runs.
+func (s *session) pass(a *attachment, f frame) error {
+	if len(f) < flushBytes || !a.started {
+		s.toServer.raw(f)
+		return s.relieve()
+	}
+	if err := s.flushServer(); err != nil || s.current() != a {
+		return err
+	}
+	_, err := a.write(f)
+	return err
+}
+
 // settingOf returns the setting that a statement changes when it runs outside a
 // transaction, or nil.
 func (s *session) settingOf(class statementClass, sql []byte) (*settingChange, *verdict.Error) {
@@ -144,9 +168,5 @@
 		a.copyIn = false
 		s.mu.Unlock()
 	}
-	s.toServer.raw(f)
-	if s.toServer.len() >= flushBytes {
-		return s.flushServer()
-	}
-	return nil
+	return s.pass(a, f)
 }
--- a/pkg/frontend/sql.go
+++ b/pkg/frontend/sql.go
@@ -21,6 +21,7 @@
 	kindShow
 	kindDeallocate
 	kindDiscard
+	kindListen
 )
 
 // statementClass describes a statement for the relay.
@@ -65,6 +66,8 @@
 		return statementClass{kind: kindShow}
 	case is(first, "DEALLOCATE"):
 		return statementClass{kind: kindDeallocate}
+	case is(first, "LISTEN"):
+		return statementClass{kind: kindListen}
 	case is(first, "DISCARD"):
 		return statementClass{kind: kindDiscard}
 	}
