Test message orders and verdicts under faults in the frontend

Orders that the member stand-in does not produce, a client that does not read, and the truth of verdicts while connections break and requests are cancelled had no test.

--- a/pkg/frontend/bench_test.go
+++ b/pkg/frontend/bench_test.go
@@ -92,8 +92,14 @@
 	return login(b, listener.Addr().String())
 }
 
+// testReporter is what tests and benchmarks have in common.
+type testReporter interface {
+	Fatal(...any)
+	Cleanup(func())
+}
+
 // login starts a session on the open route.
-func login(b testing.TB, address string) net.Conn {
+func login(b testReporter, address string) net.Conn {
 	client, err := net.Dial("tcp", address)
 	if err != nil {
 		b.Fatal(err)
@@ -107,7 +113,7 @@
 	return client
 }
 
-func awaitReady(b testing.TB, in *frameReader) {
+func awaitReady(b testReporter, in *frameReader) {
 	for {
 		f, err := in.next()
 		if err != nil {
--- a/pkg/frontend/relay_test.go
+++ b/pkg/frontend/relay_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -234,6 +238,97 @@
 	})
 })
 
+// Guards against verdicts that are false: a client that trusts "not run" repeats
+// the request, and one that gets an answer does not.
+var _ = It("tells the truth while server connections break and requests are cancelled", func() {
+	st := startStack(nil)
+	const clients, each = 8, 60
+	var work, faults sync.WaitGroup
+	outcomes := make([]string, clients*each)
+	stop := make(chan struct{})
+	faults.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(3 * time.Millisecond):
+			}
+			sessions := st.server.snapshot()
+			if len(sessions) == 0 {
+				continue
+			}
+			if s := sessions[n%len(sessions)]; n%3 == 0 {
+				s.cancelRequest()
+			} else {
+				s.mu.Lock()
+				if s.att != nil && s.att.sent {
+					s.att.conn.NetConn().Close()
+				}
+				s.mu.Unlock()
+			}
+		}
+	})
+	for c := range clients {
+		work.Go(func() {
+			defer GinkgoRecover()
+			var conn *pgx.Conn
+			for i := range each {
+				if conn == nil || conn.IsClosed() {
+					conn = st.connect("loja", "orders")
+				}
+				outcomes[c*each+i] = insertOnce(conn, c*each+i)
+			}
+		})
+	}
+	work.Wait()
+	close(stop)
+	faults.Wait()
+	st.idle()
+	rows, err := st.connect("loja", "orders").Query(testContext(), "SELECT id FROM t")
+	Expect(err).NotTo(HaveOccurred())
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[int])
+	Expect(err).NotTo(HaveOccurred())
+	counts := map[string]int{}
+	for id, outcome := range outcomes {
+		counts[outcome]++
+		switch outcome {
+		case "ran":
+			Expect(ids).To(ContainElement(id))
+		case "not run":
+			Expect(ids).NotTo(ContainElement(id))
+		}
+	}
+	GinkgoWriter.Println(counts)
+	Expect(counts["ran"]).To(BeNumerically(">", clients*each/4))
+	Expect(counts["not run"]).To(BeNumerically(">", 0))
+})
+
+// insertOnce inserts the row in one of three ways and returns what the client
+// was told. An error of the server itself means that the statement had no effect.
+func insertOnce(conn *pgx.Conn, id int) string {
+	ctx := testContext()
+	var err error
+	switch id % 3 {
+	case 0:
+		_, err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO t (id) VALUES (%d)", id))
+	case 1:
+		_, err = conn.Exec(ctx, "INSERT INTO t (id) VALUES ($1)", id)
+	default:
+		err = pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
+			_, err := tx.Exec(ctx, "INSERT INTO t (id) VALUES ($1)", id)
+			return err
+		})
+	}
+	var e *pgconn.PgError
+	switch {
+	case err == nil:
+		return "ran"
+	case errors.As(err, &e) && !strings.Contains(e.Message, "(may have run)"):
+		return "not run"
+	}
+	return "unknown"
+}
+
 // running counts sessions with an outstanding answer.
 func (s *Server) running() int {
 	n := 0
--- /dev/null
+++ b/pkg/frontend/script_test.go
@@ -0,0 +1,209 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/verdict"
+)
+
+// script is a client and a server that exchange single messages through a
+// frontend, for orders of messages that the member stand-in does not produce.
+type script struct {
+	st     *stack
+	client *pgproto3.Frontend
+	server *pgproto3.Backend
+	raw    net.Conn
+}
+
+func startScript() *script {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	far, err := listener.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { far.Close() })
+	st := startFrontend([]string{"server"}, nil)
+	conn := &testConn{g: st.group, conn: near, fe: pgproto3.NewFrontend(near, near), address: "server", prepared: map[string]struct{}{}}
+	st.group.idle["server"] = []*testConn{conn}
+	client := login(GinkgoT(), st.address)
+	Expect(client.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	return &script{st: st, client: pgproto3.NewFrontend(client, client), server: pgproto3.NewBackend(far, far), raw: far}
+}
+
+// ask sends messages of the client and waits until the server has them.
+func (s *script) ask(messages ...pgproto3.FrontendMessage) {
+	GinkgoHelper()
+	for _, m := range messages {
+		s.client.Send(m)
+	}
+	Expect(s.client.Flush()).To(Succeed())
+	for range messages {
+		_, err := s.server.Receive()
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+func (s *script) reply(messages ...pgproto3.BackendMessage) {
+	GinkgoHelper()
+	for _, m := range messages {
+		s.server.Send(m)
+	}
+	Expect(s.server.Flush()).To(Succeed())
+}
+
+// heard returns the client's messages up to ReadyForQuery or the end, as type
+// names, with the code and severity of errors.
+func (s *script) heard(n int) string {
+	GinkgoHelper()
+	var names []string
+	for range n {
+		m, err := s.client.Receive()
+		if err != nil {
+			return strings.Join(append(names, "end"), " ")
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			names = append(names, m.Severity+m.Code)
+			if m.Detail != "" {
+				names = append(names, strings.Split(m.Detail, ";")[0])
+			}
+		case *pgproto3.CommandComplete:
+			names = append(names, string(m.CommandTag))
+		case *pgproto3.ReadyForQuery:
+			names = append(names, string(m.TxStatus))
+		case *pgproto3.ParameterStatus:
+			names = append(names, m.Name)
+		default:
+			names = append(names, strings.TrimPrefix(fmt.Sprintf("%T", m), "*pgproto3."))
+		}
+	}
+	return strings.Join(names, " ")
+}
+
+var (
+	insert   = &pgproto3.Query{String: "INSERT INTO t VALUES (1)"}
+	done     = &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}
+	position = &pgproto3.ParameterStatus{Name: group.ParamPosition, Value: "3:7"}
+	idle     = &pgproto3.ReadyForQuery{TxStatus: statusIdle}
+	execute  = []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "INSERT INTO t VALUES (1)"}, &pgproto3.Bind{}, &pgproto3.Execute{}}
+)
+
+var _ = Describe("order of messages", func() {
+	It("holds an answer whose position follows it", func() {
+		s := startScript()
+		release := make(chan struct{})
+		s.st.group.confirm = func(context.Context, group.Position) error { <-release; return nil }
+		s.ask(insert)
+		s.reply(done, position, idle)
+		answered := make(chan string, 1)
+		go func() { defer GinkgoRecover(); answered <- s.heard(3) }()
+		Consistently(answered).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		close(release)
+		Eventually(answered).Should(Receive(Equal("mulberry.token INSERT 0 1 I")))
+	})
+
+	It("acknowledges a confirmed commit whose connection is lost", func() {
+		s := startScript()
+		s.ask(insert)
+		s.reply(position, done)
+		Expect(s.heard(1)).To(Equal("mulberry.token"))
+		s.raw.Close()
+		Expect(s.heard(2)).To(Equal("INSERT 0 1 I"))
+	})
+
+	// Guards against SQLSTATEs of a dying server that drivers take for "not run".
+	It("does not pass a server's FATAL error on", func() {
+		s := startScript()
+		s.ask(insert)
+		s.reply(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "57P01"})
+		Expect(s.heard(2)).To(Equal("FATAL08007 verdict: may have run end"))
+	})
+
+	It("reports a commit that a fenced primary refused as not run", func() {
+		s := startScript()
+		s.ask(insert)
+		s.reply(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "25006"}, idle)
+		Expect(s.heard(2)).To(Equal("ERROR57P03 verdict: not run I"))
+	})
+
+	// Guards against "not run" for requests that the server can still run.
+	It("extends no verdict to later requests of a pipeline", func() {
+		s := startScript()
+		s.st.group.confirm = func(context.Context, group.Position) error {
+			return verdict.New(verdict.NotRun, verdict.NoPrimary, "discarded")
+		}
+		s.ask(insert, insert)
+		s.reply(position, done, idle)
+		Expect(s.heard(2)).To(Equal("FATAL08007 verdict: may have run end"))
+	})
+
+	It("answers Flush without Sync", func() {
+		s := startScript()
+		s.ask(append(execute, &pgproto3.Flush{})...)
+		s.reply(&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, done)
+		Expect(s.heard(3)).To(Equal("ParseComplete BindComplete INSERT 0 1"))
+		s.ask(&pgproto3.Sync{})
+		s.reply(position, idle)
+		Expect(s.heard(2)).To(Equal("mulberry.token I"))
+		s.st.idle()
+	})
+
+	It("follows COPY in the extended protocol, where a Sync is ignored", func() {
+		s := startScript()
+		s.ask(append(execute, &pgproto3.Sync{})...)
+		s.reply(&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.CopyInResponse{})
+		Expect(s.heard(3)).To(Equal("ParseComplete BindComplete CopyInResponse"))
+		s.ask(&pgproto3.CopyData{Data: []byte("1\n")}, &pgproto3.CopyDone{}, &pgproto3.Sync{})
+		s.reply(done, idle)
+		Expect(s.heard(2)).To(Equal("INSERT 0 1 I"))
+		s.st.idle()
+	})
+
+	It("drops what follows an error of its own up to the Sync", func() {
+		s := startScript()
+		s.st.policy.refusal.Store(verdict.New(verdict.NotRun, verdict.OverRate, "over the rate"))
+		s.client.Send(execute[0])
+		Expect(s.client.Flush()).To(Succeed())
+		Expect(s.heard(1)).To(Equal("ERROR53400 verdict: not run"))
+		s.st.policy.refusal.Store(nil)
+		s.client.Send(insert)
+		s.client.Send(&pgproto3.Sync{})
+		Expect(s.client.Flush()).To(Succeed())
+		Expect(s.heard(1)).To(Equal("I"))
+		s.ask(insert)
+		s.reply(done, idle)
+		Expect(s.heard(2)).To(Equal("INSERT 0 1 I"))
+	})
+
+	// Guards against memory that a client can make the proxy hold.
+	It("blocks the server while the client does not read", func() {
+		s := startScript()
+		s.ask(insert)
+		row, err := (&pgproto3.DataRow{Values: [][]byte{make([]byte, 8<<10)}}).Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		sent := 0
+		Expect(s.raw.SetWriteDeadline(time.Now().Add(time.Second))).To(Succeed())
+		for err = nil; err == nil && sent < 1<<30; sent += len(row) {
+			_, err = s.raw.Write(row)
+		}
+		Expect(err).To(HaveOccurred(), "the server wrote %d bytes", sent)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 1<<20))
+	})
+})
--- a/pkg/frontend/suite_test.go
+++ b/pkg/frontend/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -325,35 +326,10 @@
 	GinkgoHelper()
 	var e *pgconn.PgError
 	Expect(err).To(HaveOccurred())
-	Expect(asPgError(err, &e)).To(BeTrue(), "%v", err)
+	Expect(errors.As(err, &e)).To(BeTrue(), "%v", err)
 	return e
 }
 
-func asPgError(err error, target **pgconn.PgError) bool {
-	for ; err != nil; err = unwrap(err) {
-		if e, ok := err.(*pgconn.PgError); ok {
-			*target = e
-			return true
-		}
-		if joined, ok := err.(interface{ Unwrap() []error }); ok {
-			for _, e := range joined.Unwrap() {
-				if asPgError(e, target) {
-					return true
-				}
-			}
-			return false
-		}
-	}
-	return false
-}
-
-func unwrap(err error) error {
-	if u, ok := err.(interface{ Unwrap() error }); ok {
-		return u.Unwrap()
-	}
-	return nil
-}
-
 func queryInt(conn *pgx.Conn, sql string, args ...any) int {
 	GinkgoHelper()
 	var n int
