Do not run a request whose client left while it waited

A held write could run seconds after its client gave up and repeated it elsewhere. After a wait of more than 10 ms the client's socket is looked at before the request is sent. Metrics, and logs without keys, are tested now.

--- a/pkg/frontend/bench_test.go
+++ b/pkg/frontend/bench_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-func encode(b testing.TB, messages ...pgproto3.Message) []byte {
+func encode(b testReporter, messages ...pgproto3.Message) []byte {
 	var bytes []byte
 	for _, m := range messages {
 		var err error
--- /dev/null
+++ b/pkg/frontend/peek_unix.go
@@ -0,0 +1,29 @@
+//go:build unix
+
+package frontend
+
+import (
+	"net"
+	"syscall"
+)
+
+// hasLeft reports whether the client has closed a connection from which it has
+// nothing more to be read. It does not wait. Connections that are not sockets
+// are taken to be open.
+func hasLeft(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = (err == nil && n == 0) || err == syscall.ECONNRESET
+	})
+	return err != nil || left
+}
--- a/pkg/frontend/relay_test.go
+++ b/pkg/frontend/relay_test.go
@@ -205,7 +205,8 @@
 	})
 
 	It("refuses requests over the rate with a wait hint and goes on", func() {
-		st := startStack(nil)
+		metrics := &testMetrics{}
+		st := startStack(func(c *Config) { c.Metrics = metrics })
 		conn := st.connect("loja", "orders")
 		before := st.policy.admitted.Load()
 		st.exec(conn, "SELECT 1")
@@ -223,6 +224,7 @@
 		}
 		st.policy.refusal.Store(nil)
 		st.exec(conn, "SELECT 1")
+		Expect(metrics.counts()).To(And(HaveKeyWithValue("loja write ran", 3), HaveKeyWithValue("loja write not run", 2)))
 	})
 
 	// Guards against transactions of clients that are gone, which hold locks.
@@ -329,6 +331,28 @@
 	return "unknown"
 }
 
+// testMetrics counts observations.
+type testMetrics struct {
+	mu   sync.Mutex
+	seen []string
+}
+
+func (m *testMetrics) Observe(workspace, class string, _ time.Duration, v string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seen = append(m.seen, workspace+" "+class+" "+v)
+}
+
+func (m *testMetrics) counts() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := map[string]int{}
+	for _, s := range m.seen {
+		n[s]++
+	}
+	return n
+}
+
 // running counts sessions with an outstanding answer.
 func (s *Server) running() int {
 	n := 0
--- a/pkg/frontend/request.go
+++ b/pkg/frontend/request.go
@@ -16,6 +16,9 @@
 	// setupTimeout bounds DISCARD ALL and the replay of settings, which take no
 	// slot of the member. Two attempts stay far below the 8 s of a held write.
 	setupTimeout = time.Second
+	// longWait is the wait before a request after which the client is looked
+	// for: a client that gave up may have repeated the request elsewhere.
+	longWait = 10 * time.Millisecond
 )
 
 // prediction is the transaction state after everything that was sent.
@@ -69,11 +72,14 @@
 		return s.waitError(err)
 	}
 	// The wait can be long, and the process can have been paused in it.
-	if err := s.checkEffect(); err != nil {
+	err = s.checkEffect()
+	if err == nil && time.Since(a.began) > longWait && hasLeft(s.raw) {
+		err = errEnded
+	}
+	if err != nil {
 		a.conn.Release(true)
-		return err
 	}
-	return nil
+	return err
 }
 
 // checkRequest checks the key, the route and the instance before a request.
--- a/pkg/frontend/session_test.go
+++ b/pkg/frontend/session_test.go
@@ -193,6 +193,25 @@
 		Expect(pgError(err).Code).To(Equal("57014"))
 	})
 
+	// Guards against a write that runs after its client gave up and repeated it.
+	It("does not run a request whose client left while it waited", func() {
+		st := startStack(nil)
+		conn := st.connect("loja", "orders")
+		slow := &slowGroup{testGroup: st.group, waiting: make(chan struct{}), release: make(chan struct{})}
+		st.policy.group = slow
+		st.policy.apply(nil)
+		_, err := conn.PgConn().Conn().Write(encode(GinkgoT(), &pgproto3.Query{String: "INSERT INTO t (id) VALUES (1)"}))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(slow.waiting).Should(BeClosed())
+		Expect(conn.PgConn().Conn().Close()).To(Succeed())
+		time.Sleep(2 * longWait)
+		close(slow.release)
+		Eventually(st.server.Sessions).WithTimeout(5 * time.Second).Should(Equal(1))
+		st.policy.group = st.group
+		st.policy.apply(nil)
+		Expect(queryInt(st.connect("loja", "orders"), "SELECT count(*) FROM t")).To(BeZero())
+	})
+
 	// Guards against answers that reach the wrong client when many sessions
 	// share few connections.
 	It("keeps sessions of several workspaces apart", func() {
@@ -259,6 +278,18 @@
 	})
 })
 
+// slowGroup has a connection once it is released.
+type slowGroup struct {
+	*testGroup
+	waiting, release chan struct{}
+}
+
+func (g *slowGroup) Acquire(ctx context.Context, r Request) (Conn, error) {
+	close(g.waiting)
+	<-g.release
+	return g.testGroup.Acquire(ctx, r)
+}
+
 // blockingGroup never has a connection.
 type blockingGroup struct {
 	*testGroup
--- a/pkg/frontend/startup_test.go
+++ b/pkg/frontend/startup_test.go
@@ -16,6 +16,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/bundle"
 )
@@ -67,6 +69,26 @@
 		}
 	})
 
+	// Guards against keys in logs, also of clients that send them in clear.
+	It("logs refusals without keys", func() {
+		log := gbytes.NewBuffer()
+		st := startFrontend(nil, func(c *Config) { c.Log.SetOutput(log); c.Log.SetLevel(logrus.TraceLevel) })
+		_, err := st.try(strings.Replace(st.url("loja", "orders", "&mulberry.request_id=pedido-1"), password, "wrong-key", 1))
+		Expect(err).To(HaveOccurred())
+		conn := dial(st)
+		_, err = conn.Write(append(packet(3<<16, "user", "loja", "database", "orders"),
+			encode(GinkgoT(), &pgproto3.SASLInitialResponse{AuthMechanism: mechanism, Data: []byte("wrong-key")})...))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(log).Should(gbytes.Say("28P01"))
+		Eventually(log).Should(gbytes.Say("startup ended"))
+		Eventually(log).Should(gbytes.Say("08P01"))
+		Eventually(log).Should(gbytes.Say("startup ended"))
+		Expect(string(log.Contents())).To(And(ContainSubstring("not run"), ContainSubstring("instance=i1")))
+		Expect(string(log.Contents())).NotTo(ContainSubstring("wrong-key"))
+	})
+
 	It("has no bundle yet", func() {
 		st := startFrontend(nil, nil)
 		st.policy.bundle.Store(nil)
