Refuse text that can turn off the read-only mode of a read route

A read can go to the primary, where several statements in one text, or set_config, could have started a writing transaction on a read route. A test with arbitrary messages guards against input that ends the daemon.

--- a/pkg/frontend/extended.go
+++ b/pkg/frontend/extended.go
@@ -44,7 +44,7 @@
 		return malformed("malformed Parse message")
 	}
 	st := newStatement(len(name) > 0, definition)
-	if verr := s.unsupported(st.class); verr != nil {
+	if verr := s.unsupported(st.class, st.sql); verr != nil {
 		return s.refuseInOrder(verr, true)
 	}
 	if st.own != nil {
--- a/pkg/frontend/relay_test.go
+++ b/pkg/frontend/relay_test.go
@@ -198,8 +198,13 @@
 		Expect(st.group.lastRequest().Floor).To(Equal(r.Floor))
 		_, err = other.Exec(testContext(), "INSERT INTO t (id) VALUES (2)")
 		Expect(pgError(err).Code).To(Equal("25006"))
-		_, err = other.Exec(testContext(), "SET default_transaction_read_only = off")
-		Expect(pgError(err).Code).To(Equal("25006"))
+		for _, sql := range []string{
+			"SET default_transaction_read_only = off", "BEGIN READ WRITE", "BEGIN READ WRITE; INSERT INTO t (id) VALUES (2); COMMIT",
+			"SET SESSION CHARACTERISTICS AS TRANSACTION READ WRITE", "SELECT set_config('transaction_read_only', 'off', false)",
+		} {
+			_, err = other.Exec(testContext(), sql)
+			Expect(pgError(err).Code).To(Equal("25006"), sql)
+		}
 		_, err = other.Exec(testContext(), "SET mulberry.token = 'forged'")
 		Expect(pgError(err).Code).To(Equal("22023"))
 	})
--- a/pkg/frontend/script_test.go
+++ b/pkg/frontend/script_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"runtime"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -207,3 +211,37 @@
 		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 1<<20))
 	})
 })
+
+// Guards against messages that end the daemon or leave a connection attached.
+var _ = It("survives arbitrary messages", func() {
+	st := startStack(nil)
+	st.exec(st.connect("loja", "orders"), "SELECT 1")
+	seed := GinkgoRandomSeed()
+	random := rand.New(rand.NewPCG(uint64(seed), 0))
+	pieces := []string{"", "\x00", "S", "P", "a\x00", "SELECT 1\x00", "BEGIN\x00", "COPY t FROM STDIN\x00", "SET mulberry.max_age = 1\x00",
+		"SET x.y = 1\x00", "DEALLOCATE a\x00", "SHOW mulberry.token\x00", "\x00\x00", "\x00\x00\x00\x00", "\x00\x01", "COMMIT\x00", "INSERT INTO t (id) VALUES (1)\x00", "'", "/*"}
+	var all sync.WaitGroup
+	for range 200 {
+		client := login(GinkgoT(), st.address)
+		var stream []byte
+		for range 1 + random.IntN(20) {
+			body := ""
+			for range random.IntN(5) {
+				body += pieces[random.IntN(len(pieces))]
+			}
+			stream = append(stream, "QPBDECSHFdcfX!"[random.IntN(14)])
+			stream = binary.BigEndian.AppendUint32(stream, uint32(len(body)+4))
+			stream = append(stream, body...)
+		}
+		all.Go(func() {
+			_, _ = client.Write(stream)
+			_ = client.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+			_, _ = io.Copy(io.Discard, client)
+			client.Close()
+		})
+	}
+	all.Wait()
+	Eventually(st.server.Sessions).WithTimeout(10*time.Second).Should(Equal(2), "seed %d", seed)
+	st.idle()
+	Expect(queryInt(st.connect("loja", "orders"), "SELECT 1")).To(Equal(1))
+})
--- a/pkg/frontend/simple.go
+++ b/pkg/frontend/simple.go
@@ -25,7 +25,7 @@
 			return err
 		}
 	}
-	if verr := s.unsupported(class); verr != nil {
+	if verr := s.unsupported(class, sql); verr != nil {
 		return s.refuseInOrder(verr, false)
 	}
 	setting, verr := s.settingOf(class, sql)
@@ -55,9 +55,9 @@
 
 // unsupported returns the refusal of a statement that the proxy does not pass
 // on, or nil. Notifications have no place in a pooled connection.
-func (s *session) unsupported(class statementClass) *verdict.Error {
+func (s *session) unsupported(class statementClass, sql []byte) *verdict.Error {
 	switch {
-	case class.readWrite && s.route.Access == bundle.ReadOnly:
+	case s.route.Access == bundle.ReadOnly && (class.readWrite || mayAllowWrites(class, sql)):
 		return errReadRoute()
 	case class.kind == kindListen:
 		return verdict.New(verdict.NotRun, verdict.FeatureNotSupported, "LISTEN is not supported under transaction pooling")
--- a/pkg/frontend/sql.go
+++ b/pkg/frontend/sql.go
@@ -74,6 +74,26 @@
 	return statementClass{kind: kindOther}
 }
 
+// mayAllowWrites reports whether text that is not classified word by word can
+// turn off the read-only mode that a read route sets on its connections. Text
+// that only mentions the mode counts as well.
+func mayAllowWrites(class statementClass, sql []byte) bool {
+	if class.kind == kindShow || class.kind == kindSet {
+		return false
+	}
+	return containsFold(sql, "transaction_read_only") || (class.kind == kindUnknown && containsFold(sql, "write"))
+}
+
+// containsFold looks for a word in lower case, in any case and without a copy.
+func containsFold(sql []byte, word string) bool {
+	for i := 0; i+len(word) <= len(sql); i++ {
+		if sql[i]|0x20 == word[0] && is(sql[i:i+len(word)], word) {
+			return true
+		}
+	}
+	return false
+}
+
 func beginClass(t tokenizer) statementClass {
 	c := statementClass{kind: kindBegin}
 	c.readOnly, c.readWrite = accessMode(t)
