Do not re-elect a primary that is cut off from its group

A primary that only its group cannot reach kept being chosen: it holds entries that nobody else has, so it is the most advanced fenced member, and the group stayed without confirmed writes. The attempt now prefers the most advanced member of a fenced majority without it, which holds every acknowledged entry. The same rule serves the target of a planned switchover. The hold of peers is now a renewed lease of 500 ms, because writes waited 2 s when the instance that asked for the hold died.

--- a/core/failover/assess.go
+++ b/core/failover/assess.go
@@ -120,7 +120,7 @@
 		if m.peerSees(now, p) {
 			return true
 		}
-		agreeing = agreeing || now.Sub(p.heardAt) <= peerRecent
+		agreeing = agreeing || p.heardAt.Sub(m.primary.contact) > agreeAfter
 	}
 	// Without any peer's opinion the replicas are witnesses: while they hear
 	// the primary, the fault lies between it and this instance.
--- a/core/failover/election.go
+++ b/core/failover/election.go
@@ -33,12 +33,17 @@
 	fenced     map[string]group.Status
 	refused    map[string]bool
 	chosen     string
+	// isolated is the primary that was cut off from its group, if that is why
+	// the attempt began. It is the most advanced member by entries that nobody
+	// else has, so it would be chosen again and again.
+	isolated string
 
 	// The rest belongs to planned switchovers.
 	planned   bool
 	target    string
 	baseTerm  uint64
 	heldBy    map[string]HoldResult
+	heldAt    time.Time
 	polledAt  time.Time
 	drainedAt time.Time
 	awaiting  group.Position
@@ -99,6 +104,7 @@
 	case primaryIsolated:
 		// That this instance or others reach the primary does not help writes.
 		if waited >= m.rankDelay() {
+			m.attempt.isolated = m.primary.member
 			m.startFencing(now)
 		}
 	case memberStranded, primaryMisplaced:
@@ -161,7 +167,7 @@
 		if a.majorityAt.IsZero() {
 			a.majorityAt = now
 		}
-		if m.allAnswered(now) || m.targetIsSafe() || now.Sub(a.majorityAt) >= fenceGrace {
+		if m.allAnswered(now) || m.preferred() != "" || now.Sub(a.majorityAt) >= fenceGrace {
 			m.startPromoting(now)
 		}
 	case !now.Before(a.deadline):
@@ -191,13 +197,34 @@
 // every acknowledged entry, because the fenced majority meets the majority that
 // confirmed it. Ties go to members in service, then to the lowest name.
 func (m *Machine) choose() string {
-	if m.targetIsSafe() {
-		return m.attempt.target
+	if name := m.preferred(); name != "" {
+		return name
 	}
+	return m.mostAdvanced("")
+}
+
+// preferred returns a member that is to be promoted although another fenced one
+// may be more advanced, or "". It is the most advanced of some fenced majority,
+// so it holds every acknowledged entry all the same.
+func (m *Machine) preferred() string {
+	a := &m.attempt
+	switch {
+	case a.planned && m.isSafe(a.target):
+		return a.target
+	case a.isolated != "":
+		if best := m.mostAdvanced(a.isolated); m.isSafe(best) {
+			return best
+		}
+	}
+	return ""
+}
+
+// mostAdvanced returns the most advanced fenced member other than the excluded one.
+func (m *Machine) mostAdvanced(except string) string {
 	best := ""
 	for _, name := range m.order {
 		s, ok := m.attempt.fenced[name]
-		if !ok {
+		if !ok || name == except {
 			continue
 		}
 		if best == "" || m.isBetter(name, s, best, m.attempt.fenced[best]) {
@@ -215,18 +242,15 @@
 	return m.members[name].place.InService && !m.members[than].place.InService
 }
 
-// targetIsSafe reports whether the target of a planned switchover is the most
-// advanced of some fenced majority. Then it holds every acknowledged entry,
-// even if the old primary has an unacknowledged one beyond it.
-func (m *Machine) targetIsSafe() bool {
-	a := &m.attempt
-	target, ok := a.fenced[a.target]
-	if !a.planned || !ok {
+// isSafe reports whether the member is the most advanced of some fenced majority.
+func (m *Machine) isSafe(name string) bool {
+	candidate, ok := m.attempt.fenced[name]
+	if !ok {
 		return false
 	}
 	behind := 0
-	for _, s := range a.fenced {
-		if s.ReceivedPosition().Compare(target.ReceivedPosition()) <= 0 {
+	for _, s := range m.attempt.fenced {
+		if s.ReceivedPosition().Compare(candidate.ReceivedPosition()) <= 0 {
 			behind++
 		}
 	}
--- a/core/failover/event.go
+++ b/core/failover/event.go
@@ -116,8 +116,8 @@
 }
 
 // HoldWrites asks all serving instances, this one included, to hold new write
-// transactions, or to release them; each one answers with HoldResult. It is
-// repeated while transactions still run.
+// transactions for the lease, or to release them; each one answers with
+// HoldResult. It is repeated to renew the lease and while transactions still run.
 type HoldWrites struct {
 	On    bool
 	Term  uint64
--- a/core/failover/failover.go
+++ b/core/failover/failover.go
@@ -29,8 +29,10 @@
 	DefaultRankDelay = 150 * time.Millisecond
 	// DefaultCallTimeout bounds the wait for the answers to a fence or promotion.
 	DefaultCallTimeout = 300 * time.Millisecond
-	// DefaultHoldLease is the time for which peers hold writes in a planned switchover.
-	DefaultHoldLease = 2 * time.Second
+	// DefaultHoldLease is the time for which peers hold writes in a planned
+	// switchover. It is renewed, and short, because writes wait for its end if
+	// the instance that asked for it dies.
+	DefaultHoldLease = 500 * time.Millisecond
 	// DefaultDrainBound is the longest wait for running write transactions.
 	DefaultDrainBound = time.Second
 	// DefaultRepairDelay is the time after which a minority of members that
@@ -48,8 +50,10 @@
 	// peerMargin is the time by which a peer must have seen the primary later
 	// than this instance; one probe interval is the phase between probers, the rest is latency.
 	peerMargin = 150 * time.Millisecond
-	// peerRecent is the age up to which a peer's view says that the peer is up.
-	peerRecent = time.Second
+	// agreeAfter is the silence after which a peer's view counts as agreement
+	// that the primary is gone; an earlier view was sent before the peer could
+	// have noticed.
+	agreeAfter = peerMargin + 100*time.Millisecond
 	// pauseGap is the gap between steps that counts as a pause of this process.
 	// Silence during a pause says nothing about the primary.
 	pauseGap = 250 * time.Millisecond
@@ -66,6 +70,8 @@
 	catchUpBound = 500 * time.Millisecond
 	// pollInterval is the interval of questions during a planned switchover.
 	pollInterval = 10 * time.Millisecond
+	// holdRenewal is the interval at which the hold of peers is renewed.
+	holdRenewal = 100 * time.Millisecond
 	// plannedRetry is the pause after a planned switchover that was given up.
 	plannedRetry = time.Second
 	// plannedRankDelay is the delay per rank before a planned switchover; it
--- a/core/failover/planned.go
+++ b/core/failover/planned.go
@@ -65,7 +65,7 @@
 }
 
 func (m *Machine) askHold(now time.Time) {
-	m.attempt.polledAt = now
+	m.attempt.heldAt = now
 	m.emit(HoldWrites{On: true, Term: m.attempt.baseTerm, Lease: m.cfg.HoldLease})
 }
 
@@ -83,6 +83,9 @@
 		m.cancelPlanned(now)
 		return
 	}
+	if now.Sub(a.heldAt) >= holdRenewal {
+		m.askHold(now)
+	}
 	if a.phase == draining {
 		m.advanceDraining(now)
 	}
@@ -103,7 +106,7 @@
 	}
 	switch {
 	case (pending || running) && now.Before(a.deadline):
-		if running && now.Sub(a.polledAt) >= pollInterval {
+		if running && now.Sub(a.heldAt) >= pollInterval {
 			m.askHold(now)
 		}
 	default:
--- a/core/failover/sim_test.go
+++ b/core/failover/sim_test.go
@@ -138,7 +138,7 @@
 	ackedBy    map[uint64]string
 	violations []string
 	nextID     int
-	// noGap is the longest time between two acknowledgements since gapFrom.
+	// maxGap is the longest time between two acknowledgements.
 	lastAck time.Time
 	maxGap  time.Duration
 	// trap, if set, sees each action first and may stop its execution.
