Gather small limits, give loans back, compare schemes

Change: a limit with a share below 10 requests is gathered at one instance by rendezvous order, from which the others borrow whole tokens. A borrower rounds up to an eighth of the limit and gives surplus loans back before their end.

--- a/core/limits/borrow.go
+++ b/core/limits/borrow.go
@@ -1,6 +1,9 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // borrowed is a loan to this instance.
 type borrowed struct {
@@ -26,6 +29,8 @@
 type refusal struct {
 	until time.Time
 	wait  time.Duration
+	// failed says that the peer did not answer at all.
+	failed bool
 }
 
 const (
@@ -35,7 +40,7 @@
 	askTimeout = 300 * time.Millisecond
 	// firstBackoff and maxBackoff bound the time for which a peer that had
 	// nothing to lend is left out.
-	firstBackoff, maxBackoff = 60 * time.Millisecond, 960 * time.Millisecond
+	firstBackoff, maxBackoff = 60 * time.Millisecond, 480 * time.Millisecond
 	// borrowAhead is the time over which a demand above the share may consume
 	// the tokens in the bucket before a loan is asked for.
 	borrowAhead = 200 * time.Millisecond
@@ -45,11 +50,19 @@
 func (b *Bucket) tick(now time.Time, e Tick) []Action {
 	b.demand.update(now)
 	b.dropAsks(now)
+	b.noteDemand(now)
 	if !now.Before(e.Deadline) {
 		return nil
 	}
-	out := b.renew(now)
-	return append(out, b.borrow(now, e.Peers)...)
+	out := append(b.giveBack(now), b.renew(now)...)
+	switch {
+	case !b.isGathered():
+		return append(out, b.borrow(now, b.missing())...)
+	case b.isHome(now):
+		return append(out, b.borrow(now, b.missingAtHome())...)
+	default:
+		return append(out, b.askHome(now)...)
+	}
 }
 
 // need is the part of rate, burst and tokens that the demand lacks.
@@ -58,6 +71,9 @@
 const (
 	// aimFactor is the rate that a borrower aims for relative to its demand.
 	aimFactor = 1.1
+	// loanStep is the part of a limit's rate to whose multiples a borrower rounds
+	// up, so that a rising demand does not lead to many small loans.
+	loanStep = 0.125
 	// negligibleRate is the part of a limit's rate that is not worth a message.
 	negligibleRate = 0.02
 	// negligibleTokens is the number of tokens that is not worth a message while
@@ -70,7 +86,7 @@
 // met with rate before the tokens run out.
 func (b *Bucket) missing() need {
 	waiting := float64(b.waiting.len())
-	want := min(b.demand.rate*aimFactor, b.limit.Rate)
+	want := b.wanted()
 	n := need{tokens: waiting - b.tokens}
 	if b.demand.rate > b.rate {
 		ahead := waiting + (b.demand.rate-b.rate)*borrowAhead.Seconds()
@@ -97,8 +113,8 @@
 
 // borrow asks as many peers as an even distribution of the limit suggests. What
 // they do not lend is asked of others at the next tick.
-func (b *Bucket) borrow(now time.Time, peers []string) []Action {
-	n := b.missing()
+func (b *Bucket) borrow(now time.Time, n need) []Action {
+	peers := b.peers
 	for i := range b.asks {
 		n.rate -= b.asks[i].rate
 		n.burst -= b.asks[i].burst
@@ -148,28 +164,77 @@
 	return false
 }
 
+// wanted is the rate that this instance aims for.
+func (b *Bucket) wanted() float64 {
+	step := b.limit.Rate * loanStep
+	return min(math.Ceil(b.demand.rate*aimFactor/step)*step, b.limit.Rate)
+}
+
+// target is the rate up to which loans are kept: all of a limit that this
+// instance gathers, none of one that another gathers, and else what is wanted.
+func (b *Bucket) target(now time.Time) float64 {
+	switch {
+	case !b.isGathered():
+		return b.wanted()
+	case b.isHome(now):
+		return b.limit.Rate
+	default:
+		return 0
+	}
+}
+
+// giveBack ends loans that the demand no longer needs before their time. The
+// borrower stops using a loan before the lender learns of it, and never uses
+// the identity of a loan again.
+func (b *Bucket) giveBack(now time.Time) []Action {
+	surplus := b.rate - b.target(now) - b.limit.Rate*loanStep
+	var out []Action
+	for i := 0; i < len(b.borrowed); {
+		l := b.borrowed[i]
+		if l.rate <= 0 || l.rate > surplus || b.isAskedFor(l.id) {
+			i++
+			continue
+		}
+		surplus -= l.rate
+		b.borrowed = append(b.borrowed[:i], b.borrowed[i+1:]...)
+		out = append(out, Borrow{To: l.from, Limit: b.limit.Name, LoanID: l.id})
+	}
+	if len(out) > 0 {
+		b.recompute()
+	}
+	return out
+}
+
+func (b *Bucket) isAskedFor(id uint64) bool {
+	for i := range b.asks {
+		if b.asks[i].id == id {
+			return true
+		}
+	}
+	return false
+}
+
 // renew asks for the renewal of the loans that end soon and are still needed.
+// What the borrower no longer needs it stops using before it asks.
 func (b *Bucket) renew(now time.Time) []Action {
 	var out []Action
-	rate, burst := b.rate, b.burst
-	want := min(b.demand.rate*aimFactor, b.limit.Rate)
+	rate, target := b.rate, b.target(now)
 	for i := range b.borrowed {
 		l := &b.borrowed[i]
-		if l.renewing || l.until.Sub(now) > renewBefore || (l.rate <= 0 && l.burst <= 0) {
+		if l.renewing || l.until.Sub(now) > renewBefore || l.rate <= 0 {
 			continue
 		}
-		rate, burst = rate-l.rate, burst-l.burst
-		n := need{rate: max(0, min(l.rate, want-rate))}
-		if n.rate > 0 || (b.demand.rate > 0 && burst < wholeToken) {
-			n.burst = l.burst
-		}
-		if n.rate <= 0 && n.burst <= 0 {
+		rate -= l.rate
+		part := min(1, (target-rate)/l.rate)
+		if part <= 0 {
 			continue
 		}
 		l.renewing = true
-		rate, burst = rate+n.rate, burst+n.burst
-		out = append(out, b.ask(now, l.from, l.id, n, need{}))
+		l.rate, l.burst = l.rate*part, l.burst*part
+		rate += l.rate
+		out = append(out, b.ask(now, l.from, l.id, need{rate: l.rate, burst: l.burst}, need{}))
 	}
+	b.recompute()
 	return out
 }
 
@@ -180,7 +245,7 @@
 			kept = append(kept, a)
 			continue
 		}
-		b.backOff(now, a.to)
+		b.leaveOut(now, a.to)
 	}
 	b.asks = kept
 }
@@ -220,11 +285,21 @@
 
 func (b *Bucket) onFailed(now time.Time, e LoanFailed) {
 	if _, ok := b.takeAsk(e.From, e.LoanID); ok {
-		b.backOff(now, e.From)
+		b.leaveOut(now, e.From)
 	}
 }
 
+// leaveOut handles a peer that did not answer.
+func (b *Bucket) leaveOut(now time.Time, peer string) {
+	b.refusals[peer] = refusal{until: now.Add(unreachableFor), failed: true}
+}
+
+// backOff handles a peer that had nothing to lend.
 func (b *Bucket) backOff(now time.Time, peer string) {
+	if b.isGathered() && !b.isHome(now) {
+		b.refusals[peer] = refusal{until: now.Add(emptyBackoff)}
+		return
+	}
 	wait := min(max(firstBackoff, 2*b.refusals[peer].wait), maxBackoff)
 	b.refusals[peer] = refusal{until: now.Add(wait), wait: wait}
 }
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -26,6 +26,12 @@
 	nextLoan uint64
 	nextPeer int
 
+	self  string
+	peers []string
+	// homes are all instances in the order in which they gather the limit.
+	homes       []string
+	gatherUntil time.Time
+
 	demand  demand
 	waiting queue
 }
@@ -101,7 +107,7 @@
 
 // Idle reports whether the bucket needs no Tick: no demand, loan or wait.
 func (b *Bucket) Idle() bool {
-	return b.waiting.len() == 0 && b.demand.isIdle() && len(b.borrowed) == 0 && len(b.lent) == 0 && len(b.asks) == 0
+	return b.waiting.len() == 0 && b.demand.isIdle() && b.gatherUntil.IsZero() && len(b.borrowed) == 0 && len(b.lent) == 0 && len(b.asks) == 0
 }
 
 // admit takes one token if the lease is valid and the bucket holds one.
@@ -151,8 +157,7 @@
 // recompute derives rate, burst and expiry after a change of share or loans.
 // Tokens above the new burst are lost.
 func (b *Bucket) recompute() {
-	rate, burst := b.ownPart()
-	b.rate, b.burst = max(0, rate), max(0, burst)
+	b.rate, b.burst = b.ownPart()
 	b.expiry = time.Time{}
 	for i := range b.borrowed {
 		b.rate += b.borrowed[i].rate
@@ -162,6 +167,7 @@
 	for i := range b.lent {
 		b.expireBy(b.lent[i].until)
 	}
+	b.rate, b.burst = max(0, b.rate), max(0, b.burst)
 	b.tokens = min(b.tokens, b.burst)
 }
 
@@ -172,8 +178,8 @@
 }
 
 // ownPart returns the own share of rate and burst without what is lent. It is
-// negative while loans of units that were given up since still run; such loans
-// are not renewed.
+// negative while loans of units that were given up since still run, which are
+// not renewed, and while borrowed parts are lent on.
 func (b *Bucket) ownPart() (rate, burst float64) {
 	rate, burst = share(b.limit.Rate, b.units), share(b.limit.Burst, b.units)
 	for i := range b.lent {
@@ -183,14 +189,6 @@
 	return rate, burst
 }
 
-// borrowedPart returns the borrowed rate.
-func (b *Bucket) borrowedPart() (rate float64) {
-	for i := range b.borrowed {
-		rate += b.borrowed[i].rate
-	}
-	return rate
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(min(s, maxHint.Seconds()) * float64(time.Second))
 }
--- a/core/limits/events.go
+++ b/core/limits/events.go
@@ -18,7 +18,12 @@
 	Tick struct {
 		// Deadline is the end of the instance's lease.
 		Deadline time.Time
-		// Peers are the live fellow instances that may lend, in any fixed order.
+	}
+	// SetPeers sets this instance's identity and the live fellow instances that
+	// may lend. Every bucket needs it at the start and at each change, also an
+	// idle one.
+	SetPeers struct {
+		Self  string
 		Peers []string
 	}
 	// SetUnits changes the instance's units. New units come without tokens.
@@ -29,9 +34,7 @@
 	BorrowAsked struct {
 		From      string
 		FromEpoch uint64
-		// To is this instance.
-		To     string
-		LoanID uint64
+		LoanID    uint64
 		// Rate is in requests/s, Burst and Tokens in requests.
 		Rate, Burst, Tokens float64
 		// Deadline is the end of this instance's lease.
@@ -53,6 +56,7 @@
 )
 
 func (Tick) limitsEvent()        {}
+func (SetPeers) limitsEvent()    {}
 func (SetUnits) limitsEvent()    {}
 func (SetLimit) limitsEvent()    {}
 func (BorrowAsked) limitsEvent() {}
@@ -89,6 +93,8 @@
 	switch e := ev.(type) {
 	case Tick:
 		return b.tick(now, e)
+	case SetPeers:
+		b.setPeers(e.Self, e.Peers)
 	case SetUnits:
 		b.units = e.Units
 		b.recompute()
--- a/core/limits/experiment/fleet.go
+++ b/core/limits/experiment/fleet.go
@@ -21,6 +21,10 @@
 	Witnesses int
 	// Loans lets instances lend to one another.
 	Loans bool
+	// Detached leaves out lease, heartbeats and store.
+	Detached bool
+	// OwnUnits says that the scheme sets the units of the buckets, not the lease.
+	OwnUnits bool
 	// ListAbsent reports dead instances as absent from the platform's list.
 	ListAbsent bool
 	// LoseMessage is the probability that a message is lost, and DelayMessage
--- a/core/limits/experiment/node.go
+++ b/core/limits/experiment/node.go
@@ -35,6 +35,7 @@
 	waiting map[waitKey]func(admitted bool)
 	settle  map[string]bool
 	left    bool
+	known   []string
 }
 
 type heardFrom struct {
@@ -72,6 +73,9 @@
 	for _, l := range n.fleet.Limits {
 		n.buckets[l.Name] = limits.NewBucket(l, 0, n.now())
 	}
+	if n.fleet.Detached {
+		return
+	}
 	s.Every(s.Between(0, leaseTick), leaseTick, func() bool {
 		if !n.paused {
 			n.run(n.tickLease)
@@ -92,6 +96,20 @@
 	})
 }
 
+func (n *Node) setUnits(units uint32) {
+	for _, b := range n.buckets {
+		b.Step(n.now(), limits.SetUnits{Units: units})
+	}
+}
+
+// deadline is the end of the lease; a detached instance has one without end.
+func (n *Node) deadline() time.Time {
+	if n.fleet.Detached {
+		return n.now().Add(time.Hour)
+	}
+	return n.lease.Status().Deadline
+}
+
 // heartbeat goes to the fellow instances that were not just asked for a promise:
 // such a request is a heartbeat itself.
 func (n *Node) heartbeat() {
@@ -149,8 +167,8 @@
 	f := n.fleet
 	switch a := a.(type) {
 	case lease.SetUnits:
-		for _, b := range n.buckets {
-			b.Step(n.now(), limits.SetUnits{Units: a.Units})
+		if !n.fleet.OwnUnits {
+			n.setUnits(a.Units)
 		}
 	case lease.AskPromise:
 		n.asked[a.To] = n.now()
@@ -200,10 +218,16 @@
 		return
 	}
 	deadline, peers := n.lease.Status().Deadline, n.lenders()
+	if !slices.Equal(peers, n.known) {
+		n.known = peers
+		for _, b := range n.buckets {
+			b.Step(n.now(), limits.SetPeers{Self: n.ID, Peers: peers})
+		}
+	}
 	for _, l := range n.fleet.Limits {
 		b := n.buckets[l.Name]
 		if !b.Idle() {
-			n.actLimits(b, b.Step(n.now(), limits.Tick{Deadline: deadline, Peers: peers}))
+			n.actLimits(b, b.Step(n.now(), limits.Tick{Deadline: deadline}))
 		}
 		n.settleNow(l)
 	}
@@ -224,7 +248,7 @@
 		f.send(n, ask.To, func(p *Node) {
 			lender := p.buckets[ask.Limit]
 			for _, g := range lender.Step(p.now(), limits.BorrowAsked{
-				From: n.ID, FromEpoch: epoch, To: p.ID, LoanID: ask.LoanID, Rate: ask.Rate, Burst: ask.Burst,
+				From: n.ID, FromEpoch: epoch, LoanID: ask.LoanID, Rate: ask.Rate, Burst: ask.Burst,
 				Tokens: ask.Tokens, Deadline: p.lease.Status().Deadline,
 			}) {
 				g := g.(limits.Grant)
@@ -250,7 +274,7 @@
 	}
 	b := n.buckets[l.Name]
 	st := n.lease.Status()
-	switch d := b.Take(n.now(), st.Deadline); d.Outcome {
+	switch d := b.Take(n.now(), n.deadline()); d.Outcome {
 	case limits.Admitted:
 		n.fleet.admitted(n, l.Name)
 		answer(true)
@@ -259,12 +283,15 @@
 	case limits.Waiting:
 		n.waiting[waitKey{l.Name, d.Ticket}] = answer
 		n.settleLater(l)
+		if n.fleet.Loans {
+			n.actLimits(b, b.Step(n.now(), limits.Tick{Deadline: st.Deadline}))
+		}
 	}
 }
 
 // settleNow ends the waits that can end.
 func (n *Node) settleNow(l bundle.Limit) {
-	for _, r := range n.buckets[l.Name].Settle(n.now(), n.lease.Status().Deadline) {
+	for _, r := range n.buckets[l.Name].Settle(n.now(), n.deadline()) {
 		key := waitKey{l.Name, r.Ticket}
 		answer := n.waiting[key]
 		delete(n.waiting, key)
--- a/core/limits/lend.go
+++ b/core/limits/lend.go
@@ -1,6 +1,9 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // loanKey names a loan. The epoch keeps a restarted borrower's loans apart from
 // those of its predecessor.
@@ -29,24 +32,37 @@
 // than this instance's lease. Without an answer the part is lost until then.
 func (b *Bucket) lend(now time.Time, e BorrowAsked) Grant {
 	refusal := Grant{To: e.From, Limit: b.limit.Name, LoanID: e.LoanID}
+	b.demand.update(now)
+	key := loanKey{e.From, e.FromEpoch, e.LoanID}
+	old := b.takeBack(key, e)
 	length := min(MaxLoan, e.Deadline.Sub(now))
 	if e.Rate <= 0 {
 		length = min(length, tokenLoan)
 	}
-	if length < minLoan {
+	g := b.spare(now, e, old, length)
+	if length < minLoan || (g.Rate <= 0 && g.Burst <= 0 && g.Tokens <= 0) {
 		return refusal
 	}
-	b.demand.update(now)
-	key := loanKey{e.From, e.FromEpoch, e.LoanID}
+	g.To, g.Limit, g.LoanID, g.Length = refusal.To, refusal.Limit, refusal.LoanID, length
+	b.lower(key, old, g, now.Add(length))
+	return g
+}
+
+// takeBack finds the loan that is to be renewed and returns to use what the
+// borrower no longer asks for: it has stopped using that part.
+func (b *Bucket) takeBack(key loanKey, e BorrowAsked) int {
 	old := b.findLent(key)
-	grant := b.spare(e, old)
-	grant.To, grant.Limit, grant.LoanID = refusal.To, refusal.Limit, refusal.LoanID
-	if grant.Rate <= 0 && grant.Burst <= 0 && grant.Tokens <= 0 {
-		return refusal
+	if old < 0 {
+		return old
 	}
-	b.lower(now, key, old, grant, now.Add(length))
-	grant.Length = length
-	return grant
+	l := &b.lent[old]
+	l.rate, l.burst = min(l.rate, max(0, e.Rate)), min(l.burst, max(0, e.Burst))
+	if l.rate <= 0 && l.burst <= 0 {
+		b.lent = append(b.lent[:old], b.lent[old+1:]...)
+		old = -1
+	}
+	b.recompute()
+	return old
 }
 
 func (b *Bucket) findLent(key loanKey) int {
@@ -58,52 +74,82 @@
 	return -1
 }
 
-// spare returns what this instance can do without. A renewal is granted at most
-// the amounts of the running loan.
-func (b *Bucket) spare(e BorrowAsked, old int) Grant {
-	ownRate, ownBurst := b.ownPart()
+// spare returns what this instance can do without for the length. A renewal is
+// granted at most the amounts of the running loan.
+func (b *Bucket) spare(now time.Time, e BorrowAsked, old int, length time.Duration) Grant {
+	rate, burst := b.ownPart()
 	maxRate, maxBurst := e.Rate, e.Burst
 	if old >= 0 {
-		ownRate += b.lent[old].rate
-		ownBurst += b.lent[old].burst
+		rate, burst = rate+b.lent[old].rate, burst+b.lent[old].burst
 		maxRate, maxBurst = min(maxRate, b.lent[old].rate), min(maxBurst, b.lent[old].burst)
 	}
-	if b.yields(e) {
-		return Grant{
-			Rate: max(0, min(maxRate, ownRate)), Burst: max(0, min(maxBurst, ownBurst)),
-			Tokens: min(e.Tokens, b.tokens),
+	if e.Rate <= 0 {
+		burst += b.borrowedBeyond(now.Add(length))
+	}
+	keep := b.keep(now, e, rate, burst)
+	if e.Rate <= 0 {
+		// Capacity without the tokens for it is of no use to the borrower.
+		tokens := wholeRequests(e.Tokens, b.tokens-keep.tokens)
+		need := e.Burst - (e.Tokens - tokens)
+		if tokens <= 0 || burst-keep.burst < need {
+			return Grant{}
 		}
+		return Grant{Tokens: tokens, Burst: max(0, need)}
 	}
-	keepRate := max(0, b.demand.rate*keepFactor-b.borrowedPart())
-	keepBurst := 0.0
-	if ownRate > 0 {
-		keepBurst = ownBurst * min(1, keepRate/ownRate)
+	return Grant{
+		Rate:   max(0, min(maxRate, rate-keep.rate)),
+		Burst:  max(0, min(maxBurst, burst-keep.burst)),
+		Tokens: max(0, min(e.Tokens, b.tokens-keep.tokens)),
 	}
-	if b.waiting.len() > 0 {
-		keepRate, keepBurst = max(keepRate, ownRate), ownBurst
+}
+
+// borrowedBeyond returns the capacity that this instance borrows until after the
+// time, and may therefore lend on until then.
+func (b *Bucket) borrowedBeyond(end time.Time) (burst float64) {
+	for i := range b.borrowed {
+		if !b.borrowed[i].until.Before(end) {
+			burst += b.borrowed[i].burst
+		}
 	}
-	keepTokens := float64(b.waiting.len()) + keepRate*keepTime.Seconds()
-	g := Grant{
-		Rate:  max(0, min(maxRate, ownRate-keepRate)),
-		Burst: max(0, min(maxBurst, ownBurst-keepBurst)),
+	return burst
+}
+
+// wholeRequests returns how many tokens to grant to a borrower that collects
+// them for waiting requests: the wanted number, less a whole one for each
+// request that must wait on. A fraction would be lost at the end of the loan.
+func wholeRequests(wanted, spare float64) float64 {
+	if spare >= wanted {
+		return max(0, wanted)
 	}
-	g.Tokens = max(0, min(e.Tokens, b.tokens-keepTokens))
-	return g
+	return max(0, wanted-math.Ceil(wanted-spare-(1-wholeToken)))
 }
 
-// yields reports whether a lender that cannot collect a whole token itself gives
-// way. Of two instances that wait for the same fractions, the one with the
-// higher identity does, so that one of them gets a token.
-func (b *Bucket) yields(e BorrowAsked) bool {
-	if b.burst >= wholeToken {
-		return false
+// keep returns what this instance needs itself: nothing of a limit that the
+// borrower gathers, everything while requests wait, and otherwise its demand.
+func (b *Bucket) keep(now time.Time, e BorrowAsked, rate, burst float64) need {
+	waiting := float64(b.waiting.len())
+	all := need{rate, burst, waiting}
+	switch {
+	case b.isGathered() && e.Rate > 0 && b.isHome(now) && !b.precedes(e.From):
+		return need{rate, burst, b.tokens}
+	case b.isGathered() && e.Rate > 0:
+		return need{}
+	case b.isGathered():
+		b.gatherUntil = now.Add(gatherFor)
+		return need{rate, 0, waiting}
+	case waiting > 0 || rate <= 0:
+		return all
+	}
+	wanted := b.demand.rate * keepFactor
+	return need{
+		rate: wanted, burst: max(0, burst) * min(1, wanted/rate),
+		tokens: wanted * keepTime.Seconds(),
 	}
-	return b.waiting.len() == 0 || e.From < e.To
 }
 
 // lower takes the granted part out of use. A renewal for less leaves the
 // difference out of use until the end of the running loan.
-func (b *Bucket) lower(now time.Time, key loanKey, old int, g Grant, until time.Time) {
+func (b *Bucket) lower(key loanKey, old int, g Grant, until time.Time) {
 	if old >= 0 {
 		l := &b.lent[old]
 		rest := lent{rate: l.rate - g.Rate, burst: l.burst - g.Burst, until: l.until}
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -16,7 +16,9 @@
 //	for _, a := range b.Step(now, ev) { send a }  // control goroutine
 //
 // Settle is called at NextSettle, and after Step. Step takes a Tick at least
-// every TickEvery while the bucket is not Idle. status is lease.Status, of which
+// every TickEvery while the bucket is not Idle, and at once when a request
+// starts to wait. Every bucket takes SetPeers and SetUnits after it is created
+// and at each change. status is lease.Status, of which
 // the newest snapshot is read after the mutex is taken.
 //
 // The ceiling holds because the sum of the tokens over all instances never
@@ -44,9 +46,9 @@
 	// wholeToken is what a request costs. The tolerance absorbs the rounding of
 	// sums of fractional tokens; it is below 1 request in 10^9.
 	wholeToken = 1 - 1e-9
-	// tokenLoan is the length of a loan without rate, which only has to bring
-	// fractions of a token together within MaxWait.
-	tokenLoan = 300 * time.Millisecond
+	// tokenLoan is the length of a loan without rate, whose tokens are taken as
+	// soon as they arrive. Until it ends the lender lacks their capacity.
+	tokenLoan = 60 * time.Millisecond
 	// minLoan is the shortest loan worth a message.
 	minLoan = 50 * time.Millisecond
 	// minHint and maxHint bound the wait hint of a refusal.
