Fix who acts as the home of a gathered limit

Change: only a request for tokens makes an instance a home, and a home always asks for rate. The experiment kills each instance in turn.

--- a/core/limits/borrow.go
+++ b/core/limits/borrow.go
@@ -103,7 +103,12 @@
 	return n
 }
 
+// isNegligible reports whether the need is not worth a message. A home asks for
+// rate in any case: a request without rate would make the lender a home.
 func (b *Bucket) isNegligible(n need) bool {
+	if b.isGathered() {
+		return n.rate <= b.limit.Rate*negligibleRate
+	}
 	least := negligibleTokens
 	if b.waiting.len() > 0 {
 		least = 1 - wholeToken
--- a/core/limits/experiment/pattern.go
+++ b/core/limits/experiment/pattern.go
@@ -38,8 +38,10 @@
 	On func(sim *Sim, workspace int, elapsed time.Duration) int
 	// Factor multiplies the offered rate of a workspace; nil means 1.
 	Factor func(workspace int) float64
-	// Fault is run at the start of the demand; nil for none.
-	Fault func(sim *Sim, s Scheme)
+	// Fault is run at the start of the demand; nil for none. Variants is the
+	// number of runs with another variant each, of which the result is the sum.
+	Fault    func(sim *Sim, s Scheme, variant int)
+	Variants int
 }
 
 func onOne(_ *Sim, workspace int, _ time.Duration) int { return workspace % instances }
@@ -61,10 +63,10 @@
 		}
 		return 1
 	}},
-	{Name: "one instance killed", Length: time.Minute, On: onAny, Fault: func(sim *Sim, s Scheme) {
-		sim.After(killAt, func() { s.Kill("i3") })
+	{Name: "one instance killed (each in turn)", Length: time.Minute, On: onAny, Variants: instances, Fault: func(sim *Sim, s Scheme, variant int) {
+		sim.After(killAt, func() { s.Kill(fmt.Sprintf("i%d", variant+1)) })
 	}},
-	{Name: "store out for 5 min, demand moves", Length: outage + 40*time.Second, On: onMoving, Fault: func(sim *Sim, s Scheme) {
+	{Name: "store out for 5 min, demand moves", Length: outage + 40*time.Second, On: onMoving, Fault: func(sim *Sim, s Scheme, _ int) {
 		sim.After(outageAt, func() { s.Fleet().Store.Down = true })
 		sim.After(outageAt+outage, func() { s.Fleet().Store.Down = false })
 	}},
@@ -110,6 +112,31 @@
 // Run simulates one scheme under one pattern. The arrivals depend on the seed
 // and the pattern only, so that every scheme sees the same demand.
 func Run(seed uint64, p Pattern, make func(*Sim, []bundle.Limit, int) Scheme) Result {
+	count := max(1, p.Variants)
+	var sum Result
+	for v := range count {
+		sum.add(runVariant(seed+uint64(v)*1000, p, make, v), 1/float64(count))
+	}
+	return sum
+}
+
+// add sums the counts and averages the rates.
+func (r *Result) add(o Result, weight float64) {
+	r.Pattern, r.Scheme = o.Pattern, o.Scheme
+	r.Offered += o.Offered
+	r.Admitted += o.Admitted
+	r.Ideal += o.Ideal
+	r.Within += o.Within
+	r.Wrongful += o.Wrongful
+	r.Hot += o.Hot
+	r.HotIdeal += o.HotIdeal
+	r.Violations += o.Violations
+	r.Messages += o.Messages * weight
+	r.Writes += o.Writes * weight
+	r.Reads += o.Reads * weight
+}
+
+func runVariant(seed uint64, p Pattern, make func(*Sim, []bundle.Limit, int) Scheme, variant int) Result {
 	sim, demand := NewSim(seed), NewSim(seed+1)
 	s := make(sim, Workspaces, instances)
 	f := s.Fleet()
@@ -122,7 +149,7 @@
 	sim.RunUntil(warmUp)
 	messages, writes, reads := f.Messages, f.Store.Writes, f.Store.Reads
 	if p.Fault != nil {
-		p.Fault(sim, s)
+		p.Fault(sim, s, variant)
 	}
 	for w := range Workspaces {
 		offer(sim, demand, s, p, w, &r)
--- a/core/limits/lend.go
+++ b/core/limits/lend.go
@@ -35,6 +35,10 @@
 	b.demand.update(now)
 	key := loanKey{e.From, e.FromEpoch, e.LoanID}
 	old := b.takeBack(key, e)
+	if e.Rate <= 0 && e.Tokens <= 0 {
+		// The borrower gave the loan back.
+		return refusal
+	}
 	length := min(MaxLoan, e.Deadline.Sub(now))
 	if e.Rate <= 0 {
 		length = min(length, tokenLoan)
