--- a/core/lease/ownwrite.go
+++ b/core/lease/ownwrite.go
@@ -55,10 +55,16 @@
 }
 
 func (l *Lease) chooseWrite(now time.Time) *ownWrite {
-	if l.left {
+	switch {
+	case l.left:
 		return nil
-	}
-	if l.own == nil {
+	case l.own == nil && l.leaving:
+		l.left = true
+		return nil
+	case !l.haveRows:
+		// After a conflict a read comes first, or the next write fails likewise.
+		return nil
+	case l.own == nil:
 		return l.chooseJoin()
 	}
 	next := l.own.Record
@@ -96,13 +102,6 @@
 
 // chooseJoin creates the own row with free units, or with none.
 func (l *Lease) chooseJoin() *ownWrite {
-	if l.leaving {
-		l.left = true
-		return nil
-	}
-	if !l.haveRows {
-		return nil
-	}
 	units := min(l.pool.Units, l.evenPart())
 	rec := Record{
 		ID: l.cfg.ID, Zone: l.cfg.Zone, Epoch: l.epoch, Units: units, Witnesses: l.nextWitnesses(nil),
