Tell every limit of its peers and tick it when a request begins to wait

core/limits now takes the peers by an event of its own, also for idle buckets, and needs a tick at once when a request starts to wait for a loan.

--- a/pkg/control/limits.go
+++ b/pkg/control/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,11 @@
 	plane   *Plane
 	buckets atomic.Pointer[map[string]*bucket]
 	lease   atomic.Pointer[lease.Status]
-	units   uint32 // owned by the control goroutine
-	next    time.Time
+
+	// The fields below are owned by the control goroutine.
+	units uint32
+	peers []string
+	next  time.Time
 }
 
 // bucket guards one limits.Bucket.
@@ -32,6 +36,8 @@
 	mu      sync.Mutex
 	core    *limits.Bucket                // guarded by mu
 	waiting map[uint64]chan limits.Result // guarded by mu
+	// woken says that the control goroutine has been asked for a tick.
+	woken atomic.Bool
 }
 
 func (s *limitSet) init(p *Plane) {
@@ -50,7 +56,9 @@
 			next[l.Name] = have
 			continue
 		}
-		next[l.Name] = &bucket{core: limits.NewBucket(l, s.units, now), waiting: map[uint64]chan limits.Result{}}
+		created := &bucket{core: limits.NewBucket(l, s.units, now), waiting: map[uint64]chan limits.Result{}}
+		created.step(now, s.setPeers(), s.deadline())
+		next[l.Name] = created
 	}
 	s.buckets.Store(&next)
 }
@@ -66,25 +74,55 @@
 
 func (s *limitSet) deadline() time.Time { return s.lease.Load().Deadline }
 
+func (s *limitSet) setPeers() limits.SetPeers {
+	return limits.SetPeers{Self: s.plane.cfg.Self.ID, Peers: s.peers}
+}
+
 // tick lets the buckets renew loans and ask for new ones.
 func (s *limitSet) tick(ctx context.Context, now time.Time) {
 	if now.Before(s.next) {
 		return
 	}
 	s.next = now.Add(limits.TickEvery)
-	peers := s.plane.livePeers(now)
+	s.updatePeers(now)
 	for _, b := range *s.buckets.Load() {
-		if b.isIdle() {
-			continue
+		if !b.isIdle() {
+			s.tickBucket(ctx, now, b)
 		}
-		for _, a := range b.step(now, limits.Tick{Deadline: s.deadline(), Peers: peers}, s.deadline()) {
-			if borrow, ok := a.(limits.Borrow); ok {
-				s.borrow(ctx, b, borrow)
-			}
+	}
+}
+
+func (s *limitSet) updatePeers(now time.Time) {
+	peers := s.plane.livePeers(now)
+	if slices.Equal(peers, s.peers) {
+		return
+	}
+	s.peers = peers
+	for _, b := range *s.buckets.Load() {
+		b.step(now, s.setPeers(), s.deadline())
+	}
+}
+
+func (s *limitSet) tickBucket(ctx context.Context, now time.Time, b *bucket) {
+	for _, a := range b.step(now, limits.Tick{Deadline: s.deadline()}, s.deadline()) {
+		if borrow, ok := a.(limits.Borrow); ok {
+			s.borrow(ctx, b, borrow)
 		}
 	}
 }
 
+// wake asks the control goroutine for a tick of the bucket, because a request
+// has begun to wait for a token that a peer may lend.
+func (s *limitSet) wake(b *bucket) {
+	if b.woken.Swap(true) {
+		return
+	}
+	s.plane.offer(func(now time.Time) {
+		b.woken.Store(false)
+		s.tickBucket(s.plane.ctx, now, b)
+	})
+}
+
 // borrow asks a peer for a loan. The loan's length counts from before the
 // request was sent, so that it ends here before the lender takes it back.
 func (s *limitSet) borrow(ctx context.Context, b *bucket, a limits.Borrow) {
@@ -180,6 +218,7 @@
 	ch := make(chan limits.Result, 1)
 	b.waiting[decision.Ticket] = ch
 	b.mu.Unlock()
+	p.limits.wake(b)
 	return p.await(ctx, b, limit, decision.Ticket, ch)
 }
 
