Fetch a bundle independently of the heartbeat that told of it

Cause: the handler of Heartbeat passed the request's context on, so the fetch was cancelled when the answer had been sent and its result was dropped; the instance then never tried again. Handlers of peers' requests now pass the plane's own context. The test deployment also rewrote shared secrets while instances read them.

--- a/pkg/control/instances.go
+++ b/pkg/control/instances.go
@@ -165,7 +165,7 @@
 func (p *Plane) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	answer := &pb.HeartbeatResponse{}
 	err := p.ask(ctx, func(now time.Time) {
-		p.heard(ctx, now, time.Time{}, r.State)
+		p.heard(p.ctx, now, time.Time{}, r.State)
 		if r.AskPromise && r.State != nil && r.State.Sender != nil {
 			answer.PromisedMs = p.leases.promise(now, r.State.Sender)
 		}
@@ -194,7 +194,7 @@
 
 // PrimaryChanged implements the peer service.
 func (p *Plane) PrimaryChanged(ctx context.Context, v *pb.GroupView) (*pb.Ack, error) {
-	err := p.ask(ctx, func(now time.Time) { p.groups.primaryChanged(ctx, now, v) })
+	err := p.ask(ctx, func(now time.Time) { p.groups.primaryChanged(p.ctx, now, v) })
 	return &pb.Ack{}, err
 }
 
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -161,6 +161,9 @@
 	if err := s.startMembers(); err != nil {
 		return err
 	}
+	if err := s.writeSecrets(); err != nil {
+		return err
+	}
 	for i := range s.opts.Entries {
 		if err := s.startEntry(i); err != nil {
 			return err
@@ -292,6 +295,19 @@
 	return nil
 }
 
+// writeSecrets writes the secrets that all instances share.
+func (s *Stack) writeSecrets() error {
+	secrets := map[string]string{
+		"token.key": strings.Repeat("session-token-key.", 3), "peer.secret": strings.Repeat("peer-secret.", 4), "admin.token": adminToken,
+	}
+	for name, text := range secrets {
+		if err := os.WriteFile(filepath.Join(s.opts.Directory, name), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Stack) startEntry(index int) error {
 	ports, err := freeAddresses(4)
 	if err != nil {
@@ -304,14 +320,6 @@
 	if e.Store, err = newLink(s.faults, e.ID+"-store", s.Platform.Addr()); err != nil {
 		return err
 	}
-	secrets := map[string]string{
-		"token.key": strings.Repeat("session-token-key.", 3), "peer.secret": strings.Repeat("peer-secret.", 4), "admin.token": adminToken,
-	}
-	for name, text := range secrets {
-		if err := os.WriteFile(filepath.Join(s.opts.Directory, name), []byte(text), 0o600); err != nil {
-			return err
-		}
-	}
 	settings := map[string]any{
 		"id": e.ID, "zone": e.Zone, "clientAddress": e.ClientAddress, "peerAddress": ports[1],
 		"adminAddress": e.AdminAddress, "metricsAddress": e.MetricsAddress, "platformURL": "http://" + e.Store.Addr(),
