Test the implicit commit of a fenced primary

A pipeline whose statements ran before a fence must fail at Sync. The list of push loops moves from the injected faults to the member's own state.

--- a/standin/devstack/files.go
+++ b/standin/devstack/files.go
@@ -203,7 +203,7 @@
 	return nil
 }
 
-// URL returns the address of a route on an instance for a workspace.
+// url returns the address of a route on an instance for a workspace.
 func (l *layout) url(entry entrySettings, workspace, route string) string {
 	return "postgres://" + workspace + ":" + l.keys[workspace] + "@" + entry.ClientAddress + "/" + route +
 		"?sslmode=disable"
--- a/standin/member/faults.go
+++ b/standin/member/faults.go
@@ -17,7 +17,6 @@
 	lostAnswers int
 	cutOff      map[string]bool
 	links       map[net.Conn]string
-	pushers     map[string]bool
 	received    [][]byte
 	startups    []map[string]string
 }
@@ -125,18 +124,6 @@
 	}
 }
 
-// claimPusher reports whether the fellow had no pusher yet.
-func (f *faults) claimPusher(fellow string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.pushers == nil {
-		f.pushers = map[string]bool{}
-	}
-	known := f.pushers[fellow]
-	f.pushers[fellow] = true
-	return !known
-}
-
 // Received returns the bytes that each client connection sent, in the order in
 // which the connections were opened. It is empty without Options.Record.
 func (m *Member) Received() [][]byte {
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -54,6 +54,8 @@
 	lastContact time.Time
 	lag         time.Duration
 	fellows     map[string]string
+	// pushers names the fellows that have a push loop.
+	pushers map[string]bool
 	// urgent makes the applier ignore the lag while a promotion waits for it.
 	urgent int
 	// rebuilding is true while the database is being rebuilt from the log.
@@ -78,7 +80,7 @@
 	m := &Member{
 		opts: opts, started: time.Now(), lag: opts.ApplyLag, fellows: opts.Fellows,
 		writeLock: make(chan struct{}, 1), slots: make(chan struct{}, opts.Slots), opening: make(chan struct{}, 1),
-		note: make(chan struct{}), sessions: map[uint32]*session{},
+		note: make(chan struct{}), sessions: map[uint32]*session{}, pushers: map[string]bool{},
 		logger: opts.Log.WithFields(logrus.Fields{"group": opts.Group, "member": opts.Name}),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
--- a/standin/member/protocol_test.go
+++ b/standin/member/protocol_test.go
@@ -184,6 +184,20 @@
 			"2 C:INSERT 0 1 E:26000 ZI 1 2 T D:1 s D:2 C:SELECT 1 ZI"))
 	})
 
+	// Guards against a pipeline whose implicit commit passes a fence that came
+	// after its statements ran.
+	It("fails the implicit commit at Sync on a fenced primary", func() {
+		w.send(&pgproto3.Parse{Query: "INSERT INTO t VALUES (1, 'a')"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{})
+		for range 3 {
+			_, err := w.fe.Receive()
+			Expect(err).NotTo(HaveOccurred())
+		}
+		mustCall(control(m), group.FenceSQL(2, "x"))
+		w.send(&pgproto3.Sync{})
+		Expect(w.answer(1)).To(Equal("E:25006 ZI"))
+		Expect(w.query("SELECT count(*) FROM t")).To(Equal("T D:0 C:SELECT 1 ZI"))
+	})
+
 	// Guards against a cancel that hits nothing, another statement, or that waits
 	// for the statement to end.
 	It("cancels the running statement only", func() {
--- a/standin/member/replication.go
+++ b/standin/member/replication.go
@@ -97,7 +97,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name := range m.fellows {
-		if m.faults.claimPusher(name) && m.ctx.Err() == nil {
+		if !m.pushers[name] && m.ctx.Err() == nil {
+			m.pushers[name] = true
 			m.work.Go(func() { m.pushLoop(name) })
 		}
 	}
