Count a request before its last answer is written

The count followed the write, so a client could see its answer before the metric had it, and the metrics test was flaky.

Ran: go test -race of the package four times (93 specs passed each time), go vet, staticcheck.

--- a/pkg/frontend/interfaces.go
+++ b/pkg/frontend/interfaces.go
@@ -86,7 +86,7 @@
 
 // Metrics receives one observation for each request. Observe may be called by
 // any goroutine. The class is "read" or "write", and d the time from the first
-// message of the request to its last answer.
+// message of the request to its last answer, which is not written yet.
 type Metrics interface {
 	Observe(workspace, class string, d time.Duration, verdict string)
 }
--- a/pkg/frontend/relay.go
+++ b/pkg/frontend/relay.go
@@ -309,13 +309,13 @@
 	s.out.append(m)
 	if release {
 		a.conn.Release(reusable)
+		s.observe(a.read, a.began, verdict.Ran)
 	}
 	err := s.out.flushIf(last || release)
 	s.out.mu.Unlock()
 	if !release {
 		return a.written(err)
 	}
-	s.observe(a.read, a.began, verdict.Ran)
 	if poke || err != nil {
 		s.poke()
 	}
