End clients that stall in the middle of an answer

Back-pressure alone let a client that does not read hold a server connection, and one of the member's few slots, for ever. A client that takes less than 64 KB in 30 s is closed, and its server connection with it.

--- a/pkg/frontend/errors.go
+++ b/pkg/frontend/errors.go
@@ -52,6 +52,7 @@
 	s.logRefusal(e, request)
 	s.lingers.Store(true)
 	// The client may not read; the session must end all the same.
+	s.out.last.Store(true)
 	s.raw.SetWriteDeadline(time.Now().Add(lastMessageTime))
 	_ = s.out.send(errorResponse(e, request))
 }
--- a/pkg/frontend/lifecycle.go
+++ b/pkg/frontend/lifecycle.go
@@ -92,6 +92,7 @@
 	case running:
 		s.cancelRequest()
 		// A relay that is blocked on the client must not outlast the session.
+		s.out.last.Store(true)
 		s.raw.SetWriteDeadline(time.Now().Add(lastMessageTime))
 	case open:
 		v := verdict.New(reason.Verdict, reason.Code, "%s; the transaction was rolled back", reason.Message)
--- a/pkg/frontend/relay.go
+++ b/pkg/frontend/relay.go
@@ -79,6 +79,7 @@
 	if err == nil {
 		return true
 	}
+	a.s.log.WithError(err).WithField("request", a.s.requestID()).Debug("write to client failed")
 	a.s.mu.Lock()
 	a.s.closing = true
 	a.s.mu.Unlock()
--- a/pkg/frontend/script_test.go
+++ b/pkg/frontend/script_test.go
@@ -39,7 +39,7 @@
 	far, err := listener.Accept()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { far.Close() })
-	st := startFrontend([]string{"server"}, nil)
+	st := startFrontend([]string{"server"}, func(c *Config) { c.StallTimeout = 2 * time.Second })
 	conn := &testConn{g: st.group, conn: near, fe: pgproto3.NewFrontend(near, near), address: "server", prepared: map[string]struct{}{}}
 	st.group.idle["server"] = []*testConn{conn}
 	client := login(GinkgoT(), st.address)
@@ -193,8 +193,8 @@
 	})
 
 	// Guards against memory that a client can make the proxy hold.
-	It("blocks the server while the client does not read", func() {
-		s := startScript()
+	It("blocks the server while the client does not read, up to the stall time", func() {
+		s, began := startScript(), time.Now()
 		s.ask(insert)
 		row, err := (&pgproto3.DataRow{Values: [][]byte{make([]byte, 8<<10)}}).Encode(nil)
 		Expect(err).NotTo(HaveOccurred())
@@ -209,6 +209,10 @@
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 1<<20))
+		attached, _ := s.st.group.count()
+		Expect(attached).To(Equal(1))
+		s.st.idle()
+		Expect(time.Since(began)).To(BeNumerically(">", 2*time.Second))
 	})
 })
 
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -18,6 +18,9 @@
 const (
 	defaultStartupTimeout  = 10 * time.Second
 	defaultMaxMessageBytes = 256 << 20
+	// defaultStallTimeout is far above a round trip and a retransmission; a
+	// member has only a few slots, and a client that does not read holds one.
+	defaultStallTimeout = 30 * time.Second
 	// acceptPause is the wait after a failed accept, so that a lack of file
 	// descriptors does not become a busy loop.
 	acceptPause = 20 * time.Millisecond
@@ -35,6 +38,9 @@
 	StartupTimeout time.Duration
 	// MaxMessageBytes bounds a client message; 0 means 256 MiB.
 	MaxMessageBytes int
+	// StallTimeout ends a client that takes less than 64 KB of an answer in this
+	// time, because it holds a server connection; 0 means 30 s.
+	StallTimeout time.Duration
 	// MockSecret seeds the salts shown to unknown users. All instances need the
 	// same one, because a salt that differs between instances reveals that the
 	// user does not exist. A random one is used when it is empty.
@@ -79,6 +85,9 @@
 	if cfg.MaxMessageBytes == 0 {
 		cfg.MaxMessageBytes = defaultMaxMessageBytes
 	}
+	if cfg.StallTimeout == 0 {
+		cfg.StallTimeout = defaultStallTimeout
+	}
 	if len(cfg.MockSecret) == 0 {
 		cfg.MockSecret = make([]byte, 32)
 		rand.Read(cfg.MockSecret)
--- a/pkg/frontend/session.go
+++ b/pkg/frontend/session.go
@@ -93,7 +93,7 @@
 func newSession(srv *Server, conn net.Conn) *session {
 	s := &session{srv: srv, raw: conn, net: conn, log: srv.log}
 	s.in = newFrameReader(conn, srv.cfg.MaxMessageBytes)
-	s.out.conn = conn
+	s.out.conn, s.out.stall = conn, srv.cfg.StallTimeout
 	s.changed = sync.NewCond(&s.mu)
 	s.ctx, s.done = context.WithCancel(context.Background())
 	return s
--- a/pkg/frontend/statements.go
+++ b/pkg/frontend/statements.go
@@ -26,7 +26,7 @@
 	// parse is the encoded Parse message with the canonical name.
 	parse []byte
 	class statementClass
-	// setting is what the statement sets when it runs outside a transaction.
+	// sql is the text, a part of parse.
 	sql []byte
 	// own is set when the proxy answers the statement itself.
 	own *ownCommand
--- a/pkg/frontend/wire.go
+++ b/pkg/frontend/wire.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -22,6 +24,8 @@
 	// keepBufferBytes is the largest output buffer that goes back to the pool.
 	keepBufferBytes = 64 << 10
 	headerBytes     = 5
+	// stallBytes is the amount that a client must take within the stall time.
+	stallBytes = 64 << 10
 )
 
 var errMessageLength = errors.New("message length out of bounds")
@@ -181,6 +185,10 @@
 // session's client goroutine share it.
 type clientWriter struct {
 	conn net.Conn
+	// stall bounds the wait for the client to take stallBytes; 0 is no bound.
+	stall time.Duration
+	// last says that another deadline is set for the last message.
+	last atomic.Bool
 	// mu guards the fields below, and the order of messages to the client. It
 	// is taken before session.mu when both are needed.
 	mu  sync.Mutex
@@ -227,12 +235,29 @@
 // flush writes all pending output and blocks while the client does not read.
 func (w *clientWriter) flush() error {
 	if w.err == nil && w.out.len() > 0 {
-		_, w.err = w.conn.Write(*w.out.b)
+		w.err = w.write(*w.out.b)
 	}
 	w.out.release()
 	return w.err
 }
 
+func (w *clientWriter) write(b []byte) error {
+	for len(b) > 0 {
+		chunk := b[:min(len(b), stallBytes)]
+		if w.stall > 0 && !w.last.Load() {
+			if err := w.conn.SetWriteDeadline(time.Now().Add(w.stall)); err != nil {
+				return err
+			}
+		}
+		n, err := w.conn.Write(chunk)
+		if err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
 // flushIf flushes when nothing more is to come at once or enough is pending.
 func (w *clientWriter) flushIf(last bool) error {
 	if last || w.out.len() >= flushBytes {
