--- a/pkg/frontend/relay.go
+++ b/pkg/frontend/relay.go
@@ -79,6 +79,7 @@
 	if err == nil {
 		return true
 	}
+	a.s.log.WithError(err).WithField("request", a.s.requestID()).Debug("write to client failed")
 	a.s.mu.Lock()
 	a.s.closing = true
 	a.s.mu.Unlock()
@@ -309,13 +310,13 @@
 	s.out.append(m)
 	if release {
 		a.conn.Release(reusable)
+		s.observe(a.read, a.began, verdict.Ran)
 	}
 	err := s.out.flushIf(last || release)
 	s.out.mu.Unlock()
 	if !release {
 		return a.written(err)
 	}
-	s.observe(a.read, a.began, verdict.Ran)
 	if poke || err != nil {
 		s.poke()
 	}
