--- a/pkg/backend/acquire.go
+++ b/pkg/backend/acquire.go
@@ -61,6 +61,9 @@
 // not move for 8 s, and with 57014 when the context ends; all with the verdict
 // NotRun. Any goroutine may call it; the caller releases the connection.
 func (g *Group) Acquire(ctx context.Context, r Request) (*Conn, error) {
+	if ctx.Err() != nil {
+		return nil, cancelled(ctx)
+	}
 	if r.ReadWait <= 0 {
 		r.ReadWait = DefaultReadWait
 	}
@@ -203,6 +206,11 @@
 
 // await waits for the grant of a queued request.
 func (g *Group) await(ctx context.Context, a *acquisition, id uint64, w *waiter) (*Conn, error) {
+	select {
+	case r := <-w.result:
+		return r.conn, r.err
+	default:
+	}
 	timer := time.NewTimer(time.Until(a.deadline))
 	defer timer.Stop()
 	var err error
--- a/pkg/backend/group.go
+++ b/pkg/backend/group.go
@@ -26,17 +26,19 @@
 	running sync.WaitGroup
 
 	// mu guards the fields below and those of the members that say so.
-	mu       sync.Mutex
-	view     View
-	viewSet  bool
-	ages     *consistency.AgeLog
-	queue    *admission.Queue
-	waiters  map[uint64]*waiter
-	lastID   uint64
-	held     int
-	reads    int
-	writes   int
-	isClosed bool
+	mu      sync.Mutex
+	view    View
+	viewSet bool
+	// confirmingTerm is the last term whose first entry was asked to be confirmed.
+	confirmingTerm uint64
+	ages           *consistency.AgeLog
+	queue          *admission.Queue
+	waiters        map[uint64]*waiter
+	lastID         uint64
+	held           int
+	reads          int
+	writes         int
+	isClosed       bool
 	// viewChanged and statusChanged are closed and replaced at each change.
 	viewChanged, statusChanged chan struct{}
 }
@@ -103,6 +105,30 @@
 	return g.reads, g.writes
 }
 
+// MemberStats is a snapshot of the pool of one member.
+type MemberStats struct {
+	// Open counts idle and attached connections; Opening those being opened.
+	Open, Opening, Attached int
+	// Waiting counts the requests that wait for a connection to the member.
+	Waiting int
+	// Limit is the number of connections that may be open now.
+	Limit int
+}
+
+// Stats returns a snapshot of the pools by member, and the number of requests
+// that wait for a member to be chosen.
+func (g *Group) Stats() (members map[string]MemberStats, held int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members = map[string]MemberStats{}
+	for name, m := range g.members {
+		members[name] = MemberStats{
+			Open: m.open, Opening: m.opening, Attached: m.attached, Waiting: m.waiting, Limit: m.limit(time.Now()),
+		}
+	}
+	return members, g.held
+}
+
 // Attained returns the service that each workspace has attained on this instance
 // since Start, as the time for which it held connections.
 func (g *Group) Attained() map[string]time.Duration {
@@ -136,16 +162,26 @@
 		g.broadcast(&g.viewChanged)
 	}
 	g.ages.Observe(s, askedAt)
-	if askedAt.Before(m.askedAt) || askedAt.Before(m.validFrom) {
+	if askedAt.Before(m.validFrom) || (askedAt.Before(m.askedAt) && !isAdvance(m.status, s)) {
 		return
 	}
-	m.known, m.status, m.askedAt, m.answeredAt = true, s, askedAt, time.Now()
+	if askedAt.After(m.askedAt) {
+		m.askedAt = askedAt
+	}
+	m.known, m.status, m.answeredAt = true, s, time.Now()
 	g.closeIdle(m, func(p *pooled) bool {
 		return p.incarnation != s.Incarnation && !p.openedAt.After(askedAt)
 	})
 	g.broadcast(&g.statusChanged)
 }
 
+// isAdvance reports whether s shows more of the same visible state than old. The
+// answer to a wait may be newer than that to a later question.
+func isAdvance(old, s group.Status) bool {
+	return s.Incarnation == old.Incarnation && s.CurrentTerm == old.CurrentTerm &&
+		s.AppliedPosition().Compare(old.AppliedPosition()) > 0
+}
+
 func (g *Group) closedError() error {
 	return verdict.New(verdict.NotRun, verdict.ShuttingDown, "the instance is shutting down")
 }
--- a/pkg/backend/group_test.go
+++ b/pkg/backend/group_test.go
@@ -77,6 +77,7 @@
 	It("does not hand out connections of an earlier incarnation: a read of discarded entries", func() {
 		b := newBench(noCost, nil)
 		p := b.run("CREATE TABLE stock (n INTEGER)")
+		b.replicated(p)
 		b.acquire(read("loja", p)).Release(true)
 		b.cut("m1")
 		b.run("INSERT INTO stock VALUES (1)")
@@ -115,7 +116,9 @@
 	result := make(chan error, 1)
 	BeforeEach(func() {
 		b = newBench(noCost, func(c *backend.Config) { c.ConfirmBound = 3 * time.Second })
-		Expect(b.Confirm(within(time.Second), b.run("CREATE TABLE stock (n INTEGER)"))).To(Succeed())
+		p := b.run("CREATE TABLE stock (n INTEGER)")
+		Expect(b.Confirm(within(time.Second), p)).To(Succeed())
+		b.replicated(p)
 		b.cut("m1")
 		lost = b.run("INSERT INTO stock VALUES (1)")
 		go func() { result <- b.Confirm(context.Background(), lost) }()
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -79,21 +79,17 @@
 }
 
 // dispatch gives the member's idle connections to waiting requests in the order
-// of the fair queue, and opens connections for those that remain. The caller
+// of the fair queue, and opens connections for those that remain. Reads that wait
+// for another replica are served as well if this one is fresh enough. The caller
 // holds g.mu.
 func (g *Group) dispatch(m *member) {
 	now := time.Now()
-	for !g.isClosed && m.waiting > 0 {
-		if it, ok := g.queue.Peek(func(it admission.Item) bool { return it.Member == m.Name }); ok {
-			// A database without any connection would otherwise wait for ever
-			// behind one whose connections are never idle.
-			if m.openTo[it.Database]+m.openingTo[it.Database] == 0 {
-				g.startOpening(m, it.Database, now)
-			}
+	serves := g.serves(m, now)
+	for !g.isClosed && len(g.waiters) > 0 {
+		if m.waiting > 0 {
+			g.openFirst(m, now)
 		}
-		it, ok := g.queue.Peek(func(it admission.Item) bool {
-			return it.Member == m.Name && m.hasIdle(it.Database)
-		})
+		it, ok := g.queue.Peek(func(it admission.Item) bool { return m.hasIdle(it.Database) && serves(it) })
 		if !ok {
 			break
 		}
@@ -105,6 +101,31 @@
 	}
 }
 
+// openFirst opens a connection to the database of the request whose turn it is,
+// if there is none at all. It would otherwise wait for ever behind a database
+// whose connections are never idle. The caller holds g.mu.
+func (g *Group) openFirst(m *member, now time.Time) {
+	it, ok := g.queue.Peek(func(it admission.Item) bool { return it.Member == m.Name })
+	if ok && m.openTo[it.Database]+m.openingTo[it.Database] == 0 {
+		g.startOpening(m, it.Database, now)
+	}
+}
+
+// serves returns the items that a connection to the member may be given to: its
+// own, and reads of other members if it is a usable replica that is fresh enough.
+// The caller holds g.mu, also when it calls the result.
+func (g *Group) serves(m *member, now time.Time) func(admission.Item) bool {
+	helps := m.Name != g.view.Primary && m.inService && m.isUsable(now)
+	term := g.term()
+	return func(it admission.Item) bool {
+		if it.Member == m.Name {
+			return true
+		}
+		w := g.waiters[it.ID]
+		return helps && w.request.Read && w.isServedBy(m.status, term)
+	}
+}
+
 // grantNext gives an idle connection to the item. If the connection is unfit it
 // is closed instead; if the member is, the item chooses again. The caller holds
 // g.mu.
--- a/pkg/backend/pool_test.go
+++ b/pkg/backend/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -89,6 +90,29 @@
 	})
 })
 
+// BenchmarkAcquire measures taking and releasing an idle connection.
+func BenchmarkAcquire(b *testing.B) {
+	RegisterTestingT(b)
+	members, err := member.StartGroup("m", 1, member.Options{Group: "orders"})
+	Expect(err).NotTo(HaveOccurred())
+	defer member.CloseAll(members)
+	g, err := backend.NewGroup(backend.Config{
+		Group: "orders", Members: []backend.Member{{Name: "m1", Address: members[0].Addr()}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	g.Start()
+	defer g.Close()
+	in, budget := map[string]bool{"m1": true}, map[string]int{"m1": 3}
+	g.SetView(backend.View{Primary: "m1", Term: 1, TermStart: 1, InService: in, Budget: budget})
+	for b.Loop() {
+		c, err := g.Acquire(context.Background(), write("loja"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Release(true)
+	}
+}
+
 var _ = Describe("the pool", func() {
 	It("never has more connections open than the budget, warm ones included", func() {
 		b := newBench(member.Options{MaxConnections: 3, ConnectCost: -1}, nil)
@@ -136,6 +160,7 @@
 		b := newBench(noCost, nil)
 		oneEach(b)
 		p := b.run("CREATE TABLE stock (n INTEGER)")
+		b.replicated(p)
 		b.change(func(v *backend.View) { v.InService["m3"] = false })
 		held := b.acquire(read("loja", p))
 		Expect(held.Member()).To(Equal("m2"))
@@ -150,6 +175,30 @@
 		Expect(err).NotTo(HaveOccurred(), "a running transaction is not interrupted")
 		held.Release(true)
 	})
+	It("gives a read that waits for a busy replica to another one that becomes free", func() {
+		b := newBench(noCost, nil)
+		oneEach(b)
+		p := b.run("CREATE TABLE stock (n INTEGER)")
+		b.replicated(p)
+		first, second := b.acquire(read("loja", p)), b.acquire(read("loja", p))
+		Expect([]string{first.Member(), second.Member()}).To(ConsistOf("m2", "m3"))
+		var waiting [2]<-chan *backend.Conn
+		for i := range waiting {
+			waiting[i], _ = b.acquireLater(context.Background(), read("loja", p))
+		}
+		Consistently(waiting[0], "50ms").ShouldNot(Receive())
+		for range waiting {
+			first.Release(true)
+			select {
+			case first = <-waiting[0]:
+			case first = <-waiting[1]:
+			case <-time.After(time.Second):
+				Fail("the free replica serves no waiting read")
+			}
+		}
+		first.Release(true)
+		second.Release(true)
+	})
 	It("serves a second database although the first is always busy", func() {
 		b := newBench(noCost, nil)
 		oneEach(b)
--- a/pkg/backend/suite_test.go
+++ b/pkg/backend/suite_test.go
@@ -113,6 +113,16 @@
 	})
 }
 
+// replicated waits until both replicas have received p.
+func (b *bench) replicated(p group.Position) {
+	GinkgoHelper()
+	for _, name := range []string{"m2", "m3"} {
+		s, err := b.Wait(within(5*time.Second), name, p, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Confirms(p)).To(BeTrue())
+	}
+}
+
 func (b *bench) cut(name string) {
 	for _, m := range b.members {
 		for _, f := range b.members {
@@ -125,7 +135,7 @@
 
 func within(d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
-	DeferCleanup(cancel)
+	context.AfterFunc(ctx, cancel)
 	return ctx
 }
 
--- a/pkg/backend/view.go
+++ b/pkg/backend/view.go
@@ -32,7 +32,6 @@
 func (g *Group) SetView(v View) {
 	if v.Primary != "" {
 		g.confirmer.setPrimary(v.Term, v.Primary)
-		g.confirmTerm(v)
 	}
 	now := time.Now()
 	g.mu.Lock()
@@ -40,6 +39,10 @@
 	if g.isClosed {
 		return
 	}
+	if v.Primary != "" && v.Term != g.confirmingTerm {
+		g.confirmingTerm = v.Term
+		g.confirmTerm(group.Position{Term: v.Term, Index: v.TermStart})
+	}
 	for name, m := range g.members {
 		in := v.InService[name]
 		if in && !m.inService && g.viewSet {
@@ -58,10 +61,10 @@
 }
 
 // confirmTerm has the first entry of a new term confirmed without waiting for the
-// next probes, because floors of older terms are served only then.
-func (g *Group) confirmTerm(v View) {
-	first := group.Position{Term: v.Term, Index: v.TermStart}
-	if g.ctx.Err() != nil || first.Index == 0 || g.confirmer.confirmed(v.Term) {
+// next probes, because floors of older terms are served only then. The caller
+// holds g.mu.
+func (g *Group) confirmTerm(first group.Position) {
+	if first.Index == 0 || g.confirmer.confirmed(first.Term) {
 		return
 	}
 	g.kickProbes()
