--- a/core/bundle/diff.go
+++ b/core/bundle/diff.go
@@ -2,52 +2,123 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
-
-	"github.com/goccy/go-yaml"
+	"time"
 )
 
-// Diff returns the lines that differ between two specs, entry by entry: "-" for
-// an entry of the old one, "+" for an entry of the new one.
-func Diff(old, next Spec) []string {
-	var lines []string
-	lines = append(lines, diffList("workspace", old.Workspaces, next.Workspaces, func(w Workspace) string { return w.Name })...)
-	lines = append(lines, diffList("route", old.Routes, next.Routes, func(r Route) string { return r.Name })...)
-	lines = append(lines, diffList("zone", old.Zones, next.Zones, func(z Zone) string { return z.Name })...)
-	lines = append(lines, diffList("backendServer", old.BackendServers, next.BackendServers, func(s BackendServer) string { return s.Name })...)
-	return append(lines, diffList("group", old.Groups, next.Groups, func(g Group) string { return g.Name })...)
-}
-
-func diffList[T any](kind string, old, next []T, name func(T) string) []string {
-	before := map[string]string{}
-	for _, v := range old {
-		before[name(v)] = compact(v)
+// Diff returns the differences from one spec to another, one per line, in the
+// order of the sections of a bundle. Version and parent are left out. Items of
+// a list are matched by name, so their order makes no difference.
+func Diff(from, to Spec) []string {
+	var d []string
+	d = append(d, diffList("workspace", from.Workspaces, to.Workspaces, workspaceItem)...)
+	d = append(d, diffList("route", from.Routes, to.Routes, routeItem)...)
+	d = append(d, diffList("availability zone", from.Zones, to.Zones, zoneItem)...)
+	d = append(d, diffList("backend server", from.BackendServers, to.BackendServers, serverItem)...)
+	return append(d, diffList("group", from.Groups, to.Groups, groupItem)...)
+}
+
+// field is one compared value in readable form.
+type field struct{ name, value string }
+
+// item is a named list item with its fields and named parts.
+type item struct {
+	name   string
+	fields []field
+	part   string // what a part is called, for example "key"
+	parts  []item
+}
+
+// diffList matches items by name: first removed ones, then added and changed ones.
+func diffList[T any](kind string, from, to []T, describe func(T) item) []string {
+	before := make([]item, len(from))
+	for i, v := range from {
+		before[i] = describe(v)
 	}
-	var lines []string
-	for _, v := range next {
-		was, existed := before[name(v)]
-		now := compact(v)
-		delete(before, name(v))
-		if existed && was == now {
-			continue
+	after := make([]item, len(to))
+	for i, v := range to {
+		after[i] = describe(v)
+	}
+	return diffItems(kind, "", before, after)
+}
+
+func diffItems(kind, of string, before, after []item) []string {
+	index := func(items []item) map[string]item {
+		m := make(map[string]item, len(items))
+		for _, it := range items {
+			m[it.name] = it
 		}
-		if existed {
-			lines = append(lines, fmt.Sprintf("- %s %s: %s", kind, name(v), was))
+		return m
+	}
+	old, present := index(before), index(after)
+	var d []string
+	for _, it := range before {
+		if _, ok := present[it.name]; !ok {
+			d = append(d, fmt.Sprintf("%s %s%s: removed", kind, it.name, of))
 		}
-		lines = append(lines, fmt.Sprintf("+ %s %s: %s", kind, name(v), now))
 	}
-	for _, v := range old {
-		if was, gone := before[name(v)]; gone {
-			lines = append(lines, fmt.Sprintf("- %s %s: %s", kind, name(v), was))
+	for _, it := range after {
+		was, ok := old[it.name]
+		if !ok {
+			d = append(d, fmt.Sprintf("%s %s%s: added", kind, it.name, of))
+			continue
 		}
+		for i, f := range it.fields {
+			if f != was.fields[i] {
+				d = append(d, fmt.Sprintf("%s %s%s: %s %s -> %s", kind, it.name, of, f.name, was.fields[i].value, f.value))
+			}
+		}
+		d = append(d, diffItems(it.part, fmt.Sprintf(" of %s %s%s", kind, it.name, of), was.parts, it.parts)...)
+	}
+	return d
+}
+
+func workspaceItem(w Workspace) item {
+	it := item{name: w.Name, part: "key", fields: []field{
+		{"weight", strconv.FormatUint(uint64(w.Weight), 10)},
+		{"rate", requestsPerSecond(w.Rate)}, {"burst", requests(w.Burst)},
+	}}
+	for _, k := range w.Keys {
+		// The verifier is not printed; a change of it is what matters.
+		it.parts = append(it.parts, item{name: k.ID, fields: []field{
+			{"verifier", abbreviated(fmt.Sprintf("%s,%d,%s,%s", k.Salt, k.Iterations, k.StoredKey, k.ServerKey))},
+		}})
 	}
-	return lines
+	return it
+}
+
+func routeItem(r Route) item {
+	return item{name: r.Name, fields: []field{
+		{"group", r.Group}, {"database", r.Database}, {"access", string(r.Access)},
+		{"workspaces", "[" + strings.Join(r.Workspaces, " ") + "]"},
+		{"open", strconv.FormatBool(r.Open)},
+		{"rate", requestsPerSecond(r.Rate)}, {"burst", requests(r.Burst)},
+		{"maxAge", time.Duration(r.MaxAge).String()}, {"readWait", time.Duration(r.ReadWait).String()},
+	}}
 }
 
-func compact(v any) string {
-	b, err := yaml.MarshalWithOptions(v, yaml.Flow(true))
-	if err != nil {
-		return fmt.Sprintf("%+v", v)
+func zoneItem(z Zone) item {
+	return item{name: z.Name, fields: []field{{"in service", strconv.FormatBool(z.InService)}}}
+}
+
+func serverItem(s BackendServer) item {
+	return item{name: s.Name, fields: []field{{"zone", s.Zone}, {"in service", strconv.FormatBool(s.InService)}}}
+}
+
+func groupItem(g Group) item {
+	it := item{name: g.Name, part: "member"}
+	for _, m := range g.Members {
+		it.parts = append(it.parts, item{name: m.Name, fields: []field{
+			{"backend server", m.Server}, {"address", m.Address},
+			{"connections", strconv.Itoa(m.Connections)}, {"slots", strconv.Itoa(m.Slots)},
+		}})
 	}
-	return strings.TrimSpace(string(b))
+	return it
 }
+
+func requestsPerSecond(v float64) string { return fmt.Sprintf("%g requests/s", v) }
+func requests(v float64) string          { return fmt.Sprintf("%g requests", v) }
+
+// abbreviated returns a short digest that differs when the text differs.
+func abbreviated(text string) string { return Digest([]byte(text))[:12] }
