Add the administration API

Publishing verifies the bundle, stores its bytes and moves the head on by compare-and-set. An answer that was lost is resolved by reading the head back; the head also names its parent's digest, so a bundle that has been built upon meanwhile is recognised.

--- a/core/bundle/accept.go
+++ b/core/bundle/accept.go
@@ -36,6 +36,8 @@
 	// Digest is the hex SHA-256 of the signed bytes.
 	Digest string `json:"digest"`
 	Parent uint64 `json:"parent"`
+	// ParentDigest is the digest of the parent, empty for the first bundle.
+	ParentDigest string `json:"parentDigest,omitempty"`
 	// Publisher is the identity of the key that signed the bundle.
 	Publisher string `json:"publisher"`
 	// PublishID identifies the publish, so that a lost answer can be resolved.
--- a/pkg/admin/publish.go
+++ b/pkg/admin/publish.go
@@ -2,112 +2,133 @@
 
 import (
 	"context"
-	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
 
 	"github.com/mulberrysill/mulberrysill/core/bundle"
 	"github.com/mulberrysill/mulberrysill/pkg/platform"
 	pb "github.com/mulberrysill/mulberrysill/rpc/admin"
 )
 
-// HeadKey is the row that names the newest bundle.
-const HeadKey = "bundle/head"
+// publishAttempts bounds how often a write without an answer is resolved.
+const publishAttempts = 5
 
-// Head is the value of the head row.
-type Head struct {
-	Version uint64 `json:"version"`
-	Digest  string `json:"digest"`
-	Parent  uint64 `json:"parent"`
-	// Publisher is the identity of the operator's key.
-	Publisher string `json:"publisher"`
-	// PublishID tells a publisher whose answer was lost that the write was its own.
-	PublishID string `json:"publishId"`
+// candidate is a verified bundle on its way to the head.
+type candidate struct {
+	signed []byte
+	spec   bundle.Spec
+	head   bundle.Head
 }
 
-// refusedError says that the bundle itself is at fault; nothing was changed.
-type refusedError struct{ cause error }
-
-func (e *refusedError) Error() string { return e.cause.Error() }
-func (e *refusedError) Unwrap() error { return e.cause }
-
-// publish makes the bundle the newest one if its parent is the present one.
-// After an error other than a refusedError the outcome is not known; the same
-// publish with the same identity may be repeated.
-func publish(ctx context.Context, cfg Config, r *pb.PublishRequest) (*pb.PublishResponse, error) {
-	spec, digest, err := bundle.Open(r.Signed, cfg.Trusted)
-	if err == nil {
-		_, err = bundle.Compile(spec, digest)
-	}
-	if err == nil && r.PublishId == "" {
-		err = errors.New("publish_id: must not be empty")
-	}
-	if err != nil {
-		return nil, &refusedError{err}
-	}
-	row, head, err := readHead(ctx, cfg.Store)
+// Publish verifies a signed bundle and moves the head on to it if its parent is
+// the present head. A call with a publish_id that has succeeded before
+// succeeds again, so a caller may repeat it after a lost answer.
+func (s *Server) Publish(ctx context.Context, req *pb.PublishRequest) (*pb.PublishResponse, error) {
+	c, err := s.verify(req)
 	if err != nil {
 		return nil, err
 	}
-	next := Head{Version: spec.Version, Digest: digest, Parent: spec.Parent, PublishID: r.PublishId}
-	if next.Publisher, err = bundle.SignerOf(r.Signed); err != nil {
-		return nil, &refusedError{err}
+	// Objects are stored under their digest, so storing one twice is harmless.
+	if digest, err := s.store.PutObject(ctx, c.signed); err != nil {
+		return nil, unavailable(errors.Wrap(err, "store the signed bundle"))
+	} else if digest != c.head.Digest {
+		return nil, twirp.InternalErrorf("the store has digest %s for bundle %s", digest, c.head.Digest)
 	}
-	switch {
-	case head.PublishID == r.PublishId && head.Digest == digest:
-		return &pb.PublishResponse{Version: head.Version, Digest: head.Digest}, nil
-	case head.Version != spec.Parent:
-		return conflict(ctx, cfg, head, spec)
+	for attempt := 1; ; attempt++ {
+		resp, err := s.moveHead(ctx, c)
+		if err == nil || attempt == publishAttempts {
+			return resp, unavailable(errors.Wrap(err, "outcome unknown, repeat with the same publish id"))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, unavailable(errors.Wrap(err, "outcome unknown, repeat with the same publish id"))
+		case <-time.After(s.retryAfter):
+		}
 	}
-	if _, err := cfg.Store.PutObject(ctx, r.Signed); err != nil {
-		return nil, err
-	}
-	return moveHead(ctx, cfg, row, next, spec)
 }
 
-func readHead(ctx context.Context, store Store) (platform.Row, Head, error) {
-	var head Head
-	row, err := store.GetRow(ctx, HeadKey)
-	if err != nil || row.Version == 0 {
-		return row, head, err
+// verify checks everything that does not need the store.
+func (s *Server) verify(req *pb.PublishRequest) (*candidate, error) {
+	if req.PublishId == "" {
+		return nil, twirp.RequiredArgumentError("publish_id")
 	}
-	return row, head, errors.Wrap(json.Unmarshal(row.Value, &head), "bundle head row")
+	spec, digest, err := bundle.Open(req.Signed, s.trusted)
+	switch {
+	case errors.Is(err, bundle.ErrUntrusted), errors.Is(err, bundle.ErrSignature):
+		return nil, twirp.PermissionDenied.Error(err.Error())
+	case err != nil:
+		return nil, twirp.InvalidArgumentError("signed", err.Error())
+	}
+	if _, err := bundle.Compile(spec, digest); err != nil {
+		return nil, twirp.InvalidArgumentError("signed", err.Error())
+	}
+	_, keyID, err := bundle.Inspect(req.Signed)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("signed", err.Error())
+	}
+	return &candidate{signed: req.Signed, spec: spec, head: bundle.Head{
+		Version: spec.Version, Digest: digest, Parent: spec.Parent, Publisher: keyID, PublishID: req.PublishId,
+	}}, nil
 }
 
-// moveHead writes the head row. Whatever the answer, the row then tells whether
-// this publish or another one won.
-func moveHead(ctx context.Context, cfg Config, row platform.Row, next Head, spec bundle.Spec) (*pb.PublishResponse, error) {
-	value, err := json.Marshal(next)
+// moveHead reads the head and, if it is still the parent, replaces it by
+// compare-and-set. An error leaves the outcome unknown; the next call resolves
+// it, because the head then carries the publish identity or has not moved.
+func (s *Server) moveHead(ctx context.Context, c *candidate) (*pb.PublishResponse, error) {
+	row, err := s.store.GetRow(ctx, bundle.HeadKey)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode head row")
-	}
-	_, writeErr := cfg.Store.Transact(ctx, platform.Write{Key: HeadKey, Value: value, Expected: row.Version})
-	if writeErr == nil {
-		return &pb.PublishResponse{Version: next.Version, Digest: next.Digest}, nil
+		return nil, err
 	}
-	_, head, err := readHead(ctx, cfg.Store)
+	head, err := bundle.ParseHead(row.Value)
 	switch {
 	case err != nil:
-		return nil, errors.CombineErrors(writeErr, err)
-	case head.PublishID == next.PublishID:
-		return &pb.PublishResponse{Version: next.Version, Digest: next.Digest}, nil
-	case head.Version != spec.Parent:
-		return conflict(ctx, cfg, head, spec)
-	default:
-		return nil, writeErr
+		return nil, err
+	case head.PublishID == c.head.PublishID && head.Digest == c.head.Digest:
+		return c.published(), nil
+	case head.ParentDigest == c.head.Digest:
+		// This bundle became the head and has already been built upon.
+		return c.published(), nil
+	case head.Version != c.spec.Parent:
+		return s.conflict(ctx, c, head), nil
+	}
+	next := c.head
+	next.ParentDigest = head.Digest
+	value, err := next.Encode()
+	if err != nil {
+		return nil, err
 	}
+	_, err = s.store.Transact(ctx, platform.Write{Key: bundle.HeadKey, Value: value, Expected: row.Version})
+	if err != nil {
+		// A conflict too is resolved by reading back: the winner may be this
+		// very publish, when an earlier write of it took effect late.
+		return nil, err
+	}
+	return c.published(), nil
 }
 
-func conflict(ctx context.Context, cfg Config, head Head, spec bundle.Spec) (*pb.PublishResponse, error) {
-	answer := &pb.PublishResponse{
-		Version: spec.Version, Conflict: true, Winner: head.Publisher, WinnerVersion: head.Version,
+func (c *candidate) published() *pb.PublishResponse {
+	return &pb.PublishResponse{Version: c.head.Version, Digest: c.head.Digest}
+}
+
+// conflict says who won and how the winner differs from the candidate.
+func (s *Server) conflict(ctx context.Context, c *candidate, winner bundle.Head) *pb.PublishResponse {
+	resp := &pb.PublishResponse{
+		Conflict: true, Version: c.spec.Version, Digest: c.head.Digest,
+		Winner: winner.Publisher, WinnerVersion: winner.Version,
 	}
-	signed, err := cfg.Store.GetObject(ctx, head.Digest)
-	if err != nil {
-		return answer, nil // the differences are a help; the refusal stands without them
+	if winner.Version == 0 {
+		return resp
 	}
-	if won, _, err := bundle.Open(signed, cfg.Trusted); err == nil {
-		answer.Differences = bundle.Diff(won, spec)
+	signed, err := s.store.GetObject(ctx, winner.Digest)
+	if err == nil {
+		var spec bundle.Spec
+		if spec, _, err = bundle.Open(signed, s.trusted); err == nil {
+			resp.Differences = bundle.Diff(spec, c.spec)
+			return resp
+		}
 	}
-	return answer, nil
+	resp.Differences = []string{"the winner's bundle could not be read: " + err.Error()}
+	return resp
 }
