--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -129,9 +129,8 @@
 		}()
 	}
 	serve(e.listeners.peer, peer.Authenticate(secrets.PeerSecret, peerpb.NewPeerServer(e.plane)))
-	serve(e.listeners.admin, admin.NewHandler(admin.Config{
-		Store: e.store, Trusted: secrets.TrustedKeys, Token: secrets.AdminToken, Source: e.plane, Log: e.log,
-	}))
+	api := admin.NewServer(e.store, e.plane, secrets.TrustedKeys)
+	serve(e.listeners.admin, admin.Handler(api, secrets.AdminToken))
 	serve(e.listeners.metrics, e.metrics.Handler())
 }
 
