Do not call a read's commit harmless once it was made writable

A transaction that was declared a read can be made writable before its first query when it runs on the primary; a lost connection at its COMMIT was then reported as not run. Such an attachment counts as a writing one now. After a SET outside a transaction, a pipeline waits for the answer, because the next request can need another kind of connection.

--- a/pkg/frontend/attachment.go
+++ b/pkg/frontend/attachment.go
@@ -33,6 +33,8 @@
 	// ended says that a statement that may end the transaction was sent since
 	// status was last in step with what was sent.
 	ended bool
+	// writable says that the client may have turned the read-only mode off.
+	writable bool
 	// executed says that a statement that may commit was sent since the last Sync.
 	executed bool
 	// shared counts requests after the first.
@@ -83,15 +85,23 @@
 	case kindBegin, kindEmpty, kindShow, kindRollback:
 		return false
 	}
-	if a.read && (a.enforced || inTransaction) {
+	if a.read && !a.writable && (a.enforced || inTransaction) {
 		return false
 	}
 	return !inTransaction || class.kind == kindEnd
 }
 
 // advance predicts the transaction state after a statement.
-func (a *attachment) advance(class statementClass) {
+func (a *attachment) advance(class statementClass, sql []byte) {
+	if a.read && (class.readWrite || class.kind == kindSet || class.kind == kindReset || mayAllowWrites(class, sql)) {
+		a.writable = true
+	}
 	switch class.kind {
+	case kindSet, kindReset:
+		// The next request may need another kind of connection.
+		if a.predicted == outsideTransaction {
+			a.predicted = unknownTransaction
+		}
 	case kindBegin:
 		a.predicted = insideTransaction
 	case kindEnd, kindRollback:
--- a/pkg/frontend/extended.go
+++ b/pkg/frontend/extended.go
@@ -315,7 +315,7 @@
 	if own := s.ownPortal(portal); own != nil {
 		return s.executeOwn(own)
 	}
-	class, setting, verr := s.executed(portal)
+	class, sql, setting, verr := s.executed(portal)
 	if verr != nil {
 		return s.refuseInOrder(verr, true)
 	}
@@ -332,24 +332,24 @@
 		return err
 	}
 	a.executed = a.executed || p.mayCommit
-	a.advance(class)
+	a.advance(class, sql)
 	a.boundary = false
 	s.toServer.raw(f)
 	return s.relieve()
 }
 
 // executed returns what the portal's statement does.
-func (s *session) executed(portal []byte) (statementClass, *settingChange, *verdict.Error) {
+func (s *session) executed(portal []byte) (statementClass, []byte, *settingChange, *verdict.Error) {
 	a := s.current()
 	if a == nil {
-		return anyClass, nil, nil
+		return anyClass, nil, nil, nil
 	}
 	st := a.statementOf(portal)
 	if st == nil {
-		return anyClass, nil, nil
+		return anyClass, nil, nil, nil
 	}
 	setting, verr := s.settingOf(st.class, st.sql)
-	return st.class, setting, verr
+	return st.class, st.sql, setting, verr
 }
 
 // closeTarget handles Close. A statement stays on the server connection, where
--- a/pkg/frontend/script_test.go
+++ b/pkg/frontend/script_test.go
@@ -143,6 +143,24 @@
 		Expect(s.heard(2)).To(Equal("ERROR57P03 verdict: not run I"))
 	})
 
+	// Guards against "not run" for a commit of a transaction that was declared a
+	// read and made writable afterwards.
+	DescribeTable("states the outcome of a read transaction's commit", func(sql, want string) {
+		s := startScript()
+		for _, q := range []string{"BEGIN READ ONLY", sql} {
+			s.ask(&pgproto3.Query{String: q})
+			s.reply(done, &pgproto3.ReadyForQuery{TxStatus: statusInTx})
+			Expect(s.heard(2)).To(Equal("INSERT 0 1 T"))
+		}
+		s.ask(&pgproto3.Query{String: "COMMIT"})
+		s.raw.Close()
+		Expect(s.heard(2)).To(Equal(want))
+	},
+		Entry(nil, "SELECT 1", "FATAL08006 verdict: not run end"),
+		Entry(nil, "SET TRANSACTION READ WRITE", "FATAL08007 verdict: may have run end"),
+		Entry(nil, "SET transaction_read_only = off; SELECT 1", "FATAL08007 verdict: may have run end"),
+	)
+
 	// Guards against "not run" for requests that the server can still run.
 	It("extends no verdict to later requests of a pipeline", func() {
 		s := startScript()
--- a/pkg/frontend/simple.go
+++ b/pkg/frontend/simple.go
@@ -46,7 +46,7 @@
 			return err
 		}
 		if sent {
-			a.advance(class)
+			a.advance(class, sql)
 			a.boundary = true
 			return s.pass(a, f)
 		}
