End statements on a replaced primary that does not answer

Cause: a session whose statement ran on the primary when that was paused waited until the client gave up, although another member had become primary after 0.4 s. A paused process keeps its TCP connections open, so the relay saw no failure. Clients that write again only after an answer wrote nothing meanwhile.

Change: pkg/backend knows the connections that sessions hold. Those that were granted on a primary of an earlier term are closed once another member is primary and the former one has not answered a status call for 400 ms. The session reports the outcome as for any lost connection: 'may have run' after a commit was sent, else 'not run'. A former primary that answers is left alone, because it refuses commits by itself.

--- a/pkg/backend/config.go
+++ b/pkg/backend/config.go
@@ -47,7 +47,7 @@
 	// openBackoff and maxOpenBackoff bound the time between failed attempts.
 	openBackoff    = 50 * time.Millisecond
 	maxOpenBackoff = time.Second
-	// upkeepInterval is the time between checks of the idle connections.
+	// upkeepInterval is the time between checks of the pooled connections.
 	upkeepInterval = 100 * time.Millisecond
 )
 
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -15,9 +15,12 @@
 	pooled    *pooled
 	workspace string
 	read      bool
-	charged   time.Duration
-	grantedAt time.Time
-	released  atomic.Bool
+	// primaryTerm is the term in which the member was the primary when the
+	// connection was granted; 0 if it was a replica.
+	primaryTerm uint64
+	charged     time.Duration
+	grantedAt   time.Time
+	released    atomic.Bool
 }
 
 // Frontend returns the protocol side of the connection. Only the session reads
@@ -63,6 +66,7 @@
 	defer g.mu.Unlock()
 	p.lastWorkspace = c.workspace
 	m.attached--
+	delete(m.held, c)
 	if c.read {
 		g.reads--
 	} else {
--- a/pkg/backend/group_test.go
+++ b/pkg/backend/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -193,3 +194,50 @@
 		Expect(refused.Promised).To(BeEquivalentTo(7))
 	})
 })
+
+var _ = Describe("a replaced primary", func() {
+	start := func() (*bench, *backend.Conn, chan error) {
+		b := newBench(noCost, nil)
+		b.replicated(b.run("CREATE TABLE stock (n INTEGER)"))
+		c := b.acquire(write("loja"))
+		b.members[0].PauseAnswers()
+		DeferCleanup(b.members[0].ResumeAnswers)
+		result := make(chan error, 1)
+		go func() {
+			_, _, err := query(c, "INSERT INTO stock VALUES (1)")
+			result <- err
+		}()
+		return b, c, result
+	}
+
+	It("loses its connections when it does not answer: a checkout that hangs on a paused primary", func() {
+		b, c, result := start()
+		Consistently(result).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		b.promote("m2", 2, "m2", "m3")
+		// The statement's own deadline is 5 s.
+		Eventually(result).WithTimeout(3 * time.Second).Should(Receive(MatchError(net.ErrClosed)))
+		c.Release(false)
+		stats, _ := b.Stats()
+		Expect(stats["m1"].Attached).To(BeZero())
+	})
+
+	It("keeps its connections while no other member is primary: a commit that is given up too early", func() {
+		b, c, result := start()
+		Eventually(func() int { return b.probes.failures("m1") }).Should(BeNumerically(">", 3))
+		Expect(result).NotTo(Receive())
+		b.members[0].ResumeAnswers()
+		Eventually(result).Should(Receive(BeNil()))
+		c.Release(true)
+	})
+
+	It("keeps its connections while it answers: a definite refusal that becomes unknown", func() {
+		b := newBench(noCost, nil)
+		b.replicated(b.run("CREATE TABLE stock (n INTEGER)"))
+		c := b.acquire(write("loja"))
+		b.promote("m2", 2, "m1", "m2", "m3")
+		time.Sleep(time.Second)
+		_, _, err := query(c, "INSERT INTO stock VALUES (1)")
+		Expect(err).To(MatchError(ContainSubstring("25006")))
+		c.Release(false)
+	})
+})
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -34,10 +34,12 @@
 	// openTo, openingTo and waitingFor count by database.
 	openTo, openingTo, waitingFor map[string]int
 	attached, waiting             int
-	rate                          *admission.OpenRate
-	failures                      int
-	retryAt                       time.Time
-	timer                         *time.Timer
+	// held are the attached connections.
+	held     map[*Conn]struct{}
+	rate     *admission.OpenRate
+	failures int
+	retryAt  time.Time
+	timer    *time.Timer
 }
 
 // pooled is a connection of the pool. Whoever holds it uses it alone: the pool
@@ -55,7 +57,7 @@
 func newMember(cfg *Config, m Member) *member {
 	return &member{
 		Member: m, controls: &controls{cfg: cfg, member: m}, kick: make(chan struct{}, 1),
-		openTo: map[string]int{}, openingTo: map[string]int{}, waitingFor: map[string]int{},
+		held: map[*Conn]struct{}{}, openTo: map[string]int{}, openingTo: map[string]int{}, waitingFor: map[string]int{},
 		rate: admission.NewOpenRate(opensPerSecond, openBurst),
 	}
 }
@@ -145,7 +147,11 @@
 	}
 	_, charged, _ := g.queue.Next(func(other admission.Item) bool { return other.ID == it.ID })
 	c := &Conn{group: g, pooled: p, workspace: it.Workspace, read: w.request.Read, charged: charged, grantedAt: time.Now()}
+	if m.Name == g.view.Primary {
+		c.primaryTerm = g.view.Term
+	}
 	m.attached++
+	m.held[c] = struct{}{}
 	if c.read {
 		g.reads++
 	} else {
--- a/pkg/backend/view.go
+++ b/pkg/backend/view.go
@@ -51,6 +51,7 @@
 		m.inService, m.budget = in, max(v.Budget[name], 0)
 	}
 	g.view, g.viewSet = v, true
+	g.endReplaced(now)
 	g.moveWaiters()
 	for _, m := range g.members {
 		g.closeSurplus(m)
@@ -134,6 +135,7 @@
 		if !g.isClosed {
 			now := time.Now()
 			g.moveWaiters()
+			g.endReplaced(now)
 			for _, m := range g.members {
 				g.closeIdle(m, func(p *pooled) bool { return !isQuiet(p.wire.conn) })
 				g.closeSurplus(m)
