Keep writes on a leaving primary until the planned switchover

Cause: an instance held writes from the moment at which it applied a bundle that takes the primary out of service, but the switchover begins only when the first serving instance has applied it. Instances apply a bundle 40 to 450 ms apart (log lines 'bundle in force' of 14 bundles), so writes of the early ones waited for the late one.

Change: pkg/control treats such a primary as in service for up to 2 s, or until another member is primary. Writes are then held only from HoldWrites to the promotion. An instance that starts with the primary already out of service has no such time.

--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -28,6 +28,12 @@
 // because writes already wait while it runs.
 const holdCallTimeout = 200 * time.Millisecond
 
+// leavingPrimaryTime is the longest time for which a primary that the bundle took
+// out of service keeps its work while the planned switchover is prepared. Instances
+// apply a bundle up to a second apart; without it, writes of the first one would
+// wait for the last one. It is part of the few seconds of P8 and P12.
+const leavingPrimaryTime = 2 * time.Second
+
 // groupSet holds the database groups of the bundle in force. The control
 // goroutine owns it; traffic goroutines read byName.
 type groupSet struct {
@@ -47,6 +53,11 @@
 	machine   *failover.Machine
 	view      failover.SetView
 	nextTick  time.Time
+	// inService are the members that get new work.
+	inService map[string]bool
+	// leavesAt is when a primary that the bundle took out of service loses its
+	// work at the latest; zero if none is leaving.
+	leavesAt time.Time
 }
 
 func (s *groupSet) all() map[string]*groupState {
@@ -82,6 +93,7 @@
 		}
 	}
 	for _, g := range next {
+		g.noteLeaving(now, b)
 		g.place(ctx, now)
 		g.setView()
 	}
@@ -154,11 +166,28 @@
 			continue
 		}
 		g.nextTick = now.Add(g.machine.TickInterval())
+		if !g.leavesAt.IsZero() && !now.Before(g.leavesAt) {
+			g.leavesAt = time.Time{}
+			g.setView()
+		}
 		g.place(ctx, now)
 		g.step(ctx, now, failover.Tick{})
 	}
 }
 
+// noteLeaving starts the time of a primary that the new bundle takes out of service.
+func (g *groupState) noteLeaving(now time.Time, b *bundle.Compiled) {
+	for _, m := range g.spec.Members {
+		switch {
+		case m.Name != g.view.Primary:
+		case b.MemberInService(m):
+			g.leavesAt = time.Time{}
+		case g.inService[m.Name] && g.leavesAt.IsZero():
+			g.leavesAt = now.Add(leavingPrimaryTime)
+		}
+	}
+}
+
 // place tells the machine where members run and who serves the group.
 func (g *groupState) place(ctx context.Context, now time.Time) {
 	b := g.plane.rollout.inForce
@@ -229,6 +258,9 @@
 		switch a := a.(type) {
 		case failover.SetView:
 			g.logView(a)
+			if a.Primary != g.view.Primary {
+				g.leavesAt = time.Time{}
+			}
 			g.view = a
 			g.setView()
 		case failover.Fence:
@@ -268,9 +300,11 @@
 	}
 	units := g.plane.leases.fleetUnits()
 	for _, m := range g.spec.Members {
-		v.InService[m.Name] = b.MemberInService(m)
+		leaving := m.Name == g.view.Primary && !g.leavesAt.IsZero()
+		v.InService[m.Name] = b.MemberInService(m) || leaving
 		v.Budget[m.Name] = admission.Split(m.Connections, units, lease.TotalUnits)[g.plane.cfg.Self.ID]
 	}
+	g.inService = v.InService
 	g.backend.SetView(v)
 }
 
