Send reads to the primary when all replicas are overloaded

Cause: a declared read went to the primary only if no replica was fresh enough. With an availability zone out of service a group can have one replica left; at half of all slots busy its reads queued without end while the primary's slots were idle.

Change: consistency.Choose takes the primary if on every fresh replica at least as many requests wait as the instance may have connections, and the primary has a free connection. Reads still queue at replicas below that, so that they do not displace writes.

--- a/core/consistency/choose.go
+++ b/core/consistency/choose.go
@@ -29,6 +29,9 @@
 	Load   int
 	// Saturated says that a transaction would have to queue for a connection.
 	Saturated bool
+	// Overloaded says that at least as many requests wait for the member as it
+	// may have connections.
+	Overloaded bool
 }
 
 // Read is what a read requires.
@@ -101,12 +104,14 @@
 
 // Choose picks the member for a read. It prefers a fresh replica in service:
 // one with a free connection, then one in the instance's availability zone, then
-// the least loaded, then the lowest name. Without a fresh replica the read waits
-// for one as long as r.MayWait allows, and then goes to the primary. Any
+// the least loaded, then the lowest name. If all fresh replicas are overloaded, the
+// read goes to the primary if that has a free connection: with a zone out of service,
+// one replica may not suffice for the reads of a group. Without a fresh replica the
+// read waits for one as long as r.MayWait allows, and then goes to the primary. Any
 // goroutine may call it.
 func Choose(t Term, members []Member, r Read) Decision {
 	var best *Member
-	replicas, primary := false, false
+	replicas, primary, spare, room := false, false, false, false
 	for i := range members {
 		m := &members[i]
 		if !m.InService {
@@ -115,14 +120,21 @@
 		if m.Name == t.Primary {
 			primary = PrimaryServes(t, r.Floor) &&
 				(!r.Aged || (r.AgeKnown && PrimaryServes(t, r.AgeFloor)))
+			spare = primary && !m.Saturated
 			continue
 		}
 		replicas = replicas || m.Known
-		if serves(m, t, r) && (best == nil || before(m, best, r.Zone)) {
+		if !serves(m, t, r) {
+			continue
+		}
+		room = room || !m.Overloaded
+		if best == nil || before(m, best, r.Zone) {
 			best = m
 		}
 	}
 	switch {
+	case best != nil && !room && spare:
+		return Decision{Action: UsePrimary, Member: t.Primary}
 	case best != nil:
 		return Decision{Action: UseReplica, Member: best.Name}
 	case replicas && r.MayWait:
--- a/core/consistency/choose_test.go
+++ b/core/consistency/choose_test.go
@@ -51,6 +51,7 @@
 	with := func(x m, change func(*m)) m { change(&x); return x }
 	lagging := func(x *m) { x.Status = stale }
 	out := func(x *m) { x.InService = false }
+	overloaded := func(x *m) { x.Saturated, x.Overloaded = true, true }
 	read := consistency.Read{Floor: floor, Zone: "z1", MayWait: true}
 	late := read
 	late.MayWait = false
@@ -75,6 +76,12 @@
 			primary, near, with(far, func(x *m) { x.Zone = "z1" })),
 		Entry("a farther replica when the near one lags: a stale read", "a", read, use("c"), primary, with(near, lagging), far),
 		Entry("no replica out of service", "a", read, use("c"), primary, with(near, out), far),
+		Entry("a replica with room, not the primary: reads that slow writes down", "a", read, use("c"),
+			primary, with(near, overloaded), with(far, func(x *m) { x.Saturated = true })),
+		Entry("the primary when all replicas are overloaded: reads that time out beside a free member", "a", read, usePrimary,
+			primary, with(near, overloaded), with(far, overloaded)),
+		Entry("an overloaded replica when the primary is saturated as well: reads that displace writes", "a", read, use("b"),
+			with(primary, func(x *m) { x.Saturated = true }), with(near, overloaded)),
 		Entry("nobody yet while all replicas lag", "a", read, consistency.Decision{Action: consistency.AwaitReplica},
 			primary, with(near, lagging)),
 		Entry("the primary once the wait is over", "a", late, usePrimary, primary, with(near, lagging)),
--- a/pkg/backend/acquire.go
+++ b/pkg/backend/acquire.go
@@ -164,7 +164,7 @@
 		load := m.attached + m.waiting
 		candidates = append(candidates, consistency.Member{
 			Name: m.Name, Zone: m.Zone, InService: m.inService, Known: m.known, Status: m.status,
-			Load: load, Saturated: load >= m.limit(now),
+			Load: load, Saturated: load >= m.limit(now), Overloaded: load >= 2*m.limit(now),
 		})
 	}
 	return consistency.Choose(g.term(), candidates, consistency.Read{
