--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,15 @@
 GO ?= go
 GOFILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$')
 
-.PHONY: run test build check tools generate model unit
+.PHONY: run test build check tools generate model unit measure
 
 run: build
 	./bin/devstack run --deployment $(DEPLOYMENT)
 
+# Measures M1 to M4 on both deployments and writes docs/MEASURES.md.
+measure: build
+	./bin/devload measure --out docs --seed 1
+
 test: tools check build model unit
 
 build:
--- a/standin/member/control.go
+++ b/standin/member/control.go
@@ -11,6 +11,7 @@
 // injects faults into a member in another process:
 //
 //	GET  /status                     the status row as JSON
+//	GET  /counters                   {"selects": N}, the SELECTs that clients ran
 //	POST /lag?ms=N                   SetLag
 //	POST /pause, POST /resume        PauseAnswers, ResumeAnswers
 //	POST /lose?count=N               LoseAnswers
@@ -22,6 +23,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(m.Status())
 	})
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]int64{"selects": m.selects.Load()})
+	})
 	post := func(path string, act func()) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, _ *http.Request) {
 			act()
--- a/standin/member/execute.go
+++ b/standin/member/execute.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return "", err
 	}
+	if st.verb == "SELECT" {
+		s.m.selects.Add(1)
+	}
 	hasRows := len(rows.Columns()) > 0
 	err = sink.drain(s, rows)
 	rows.close()
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,9 @@
 	slots   chan struct{}
 	opening chan struct{}
 	faults  faults
+	// selects counts the SELECTs that clients have run, to tell which member
+	// served a read.
+	selects atomic.Int64
 
 	mu sync.Mutex
 	// note is closed and replaced whenever guarded state changes.
--- a/standin/stack/process.go
+++ b/standin/stack/process.go
@@ -77,6 +77,9 @@
 	return p.done
 }
 
+// HasEnded reports whether the process has ended.
+func (p *Process) HasEnded() bool { return isDone(p.Done()) }
+
 // ExitCode returns the exit code of a process that has ended.
 func (p *Process) ExitCode() int {
 	p.mu.Lock()
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -8,6 +8,7 @@
 	"crypto/ed25519"
 	"crypto/rand"
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"io"
 	mathrand "math/rand/v2"
@@ -54,6 +55,8 @@
 	ConnectCost        time.Duration
 	// ApplyLag is the replication lag of replicas.
 	ApplyLag time.Duration
+	// NetworkDelay is the one-way delay of every connection to a member.
+	NetworkDelay time.Duration
 	// Log receives the log lines of all processes; nil discards them.
 	Log io.Writer
 }
@@ -260,6 +263,7 @@
 		"--listen", m.listen, "--replication-listen", m.replication, "--control-listen", m.control,
 		"--connections", itoa(s.opts.Connections), "--slots", itoa(s.opts.Slots),
 		"--connect-cost-ms", itoa(s.opts.ConnectCost.Milliseconds()), "--apply-lag", s.opts.ApplyLag.String(),
+		"--network-delay", s.opts.NetworkDelay.String(),
 	}
 	for _, other := range g.Members {
 		if other.Name == m.Name {
@@ -295,6 +299,21 @@
 	return nil
 }
 
+// Read reads a JSON document from the member's fault endpoint, for example
+// "status".
+func (m *Member) Read(ctx context.Context, path string, into any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.control+"/"+path, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrapf(err, "read from %s", m.Name)
+	}
+	defer answer.Body.Close()
+	return errors.Wrapf(json.NewDecoder(answer.Body).Decode(into), "read %s from %s", path, m.Name)
+}
+
 // writeSecrets writes the secrets that all instances share.
 func (s *Stack) writeSecrets() error {
 	secrets := map[string]string{
