--- a/core/consistency/choose.go
+++ b/core/consistency/choose.go
@@ -103,8 +103,8 @@
 }
 
 // Choose picks the member for a read. It prefers a fresh replica in service:
-// one with a free connection, then one in the instance's availability zone, then
-// the least loaded, then the lowest name. If all fresh replicas are overloaded, the
+// one with a free connection, then one that is not overloaded, then one in the
+// instance's availability zone, then the least loaded, then the lowest name. If all fresh replicas are overloaded, the
 // read goes to the primary if that has a free connection: with a zone out of service,
 // one replica may not suffice for the reads of a group. Without a fresh replica the
 // read waits for one as long as r.MayWait allows, and then goes to the primary. Any
@@ -159,6 +159,9 @@
 	if a.Saturated != b.Saturated {
 		return !a.Saturated
 	}
+	if a.Overloaded != b.Overloaded {
+		return !a.Overloaded
+	}
 	if (a.Zone == zone) != (b.Zone == zone) {
 		return a.Zone == zone
 	}
--- a/standin/load/zone.go
+++ b/standin/load/zone.go
@@ -15,8 +15,9 @@
 	// writeShare is the part of requests that insert a row. Inserts take a
 	// negligible time of a slot.
 	writeShare = 0.1
-	// zoneClients is the number of connections per workspace and group.
-	zoneClients = 18
+	// zoneClients is the number of connections per group and weight of a workspace;
+	// they keep up with the rate at latencies of up to 0.37 s.
+	zoneClients = 12
 	// zonePhase is the length of the time before the zone leaves, while it is
 	// away and after it has returned.
 	zonePhase  = 4 * time.Second
@@ -35,7 +36,7 @@
 		for i := range groups {
 			name := groupName(i)
 			streams = append(streams,
-				stream{workspace: workspace, route: name + "-ro", sql: statementSQL, rate: rate, clients: zoneClients, retry: true},
+				stream{workspace: workspace, route: name + "-ro", sql: statementSQL, rate: rate, clients: zoneClients * int(w.Weight), retry: true},
 				stream{workspace: workspace, route: name, sql: "INSERT INTO checkout VALUES (1)", rate: rate * writeShare, clients: instances, retry: true})
 		}
 	}
