--- a/core/consistency/choose_test.go
+++ b/core/consistency/choose_test.go
@@ -1,6 +1,8 @@
 package consistency_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -88,3 +90,38 @@
 			consistency.Decision{Action: consistency.AwaitPrimary}, primary, near),
 	)
 })
+
+var _ = Describe("the age of data", func() {
+	at := func(ms int) time.Time { return time.Unix(100, int64(ms)*1e6) }
+	status := func(member string, term, received uint64) group.Status {
+		s := group.Status{Member: member, Role: group.Replica, PromisedTerm: term, CurrentTerm: term, LogTerm: term, Received: received}
+		if member == "a" {
+			s.Role = group.Primary
+		}
+		return s
+	}
+	It("is not proved by a primary that a majority has left: data of any age", func() {
+		l := consistency.NewAgeLog(3)
+		l.Observe(status("b", 1, 5), at(0))
+		l.Observe(status("a", 1, 5), at(10))
+		_, ok := l.FloorSince(at(0))
+		Expect(ok).To(BeTrue())
+		_, ok = l.FloorSince(at(5))
+		Expect(ok).To(BeFalse())
+		fenced := status("b", 1, 5)
+		fenced.PromisedTerm = 2
+		l.Observe(fenced, at(20))
+		_, ok = l.FloorSince(at(0))
+		Expect(ok).To(BeFalse())
+	})
+	It("needs the oldest position within it: a replica passed over although it is fresh enough", func() {
+		l := consistency.NewAgeLog(3)
+		for i := range 600 {
+			l.Observe(status("a", 1, uint64(i)), at(i))
+			l.Observe(status("b", 1, 0), at(i))
+		}
+		floor, ok := l.FloorSince(at(590))
+		Expect(ok).To(BeTrue())
+		Expect(floor).To(Equal(group.Position{Term: 1, Index: 590}))
+	})
+})
