Do not wait for dead peers in a planned switchover

A peer that is dead but still listed never answered the request to hold writes, so a planned switchover waited for the whole drain bound of 1 s. Instances that were not heard of for two heartbeats are no longer waited for; the fence stops their writes in any case. The gap tests now also cover a dead peer and the last of seven instances, and require that writes go on afterwards.

--- a/core/failover/event.go
+++ b/core/failover/event.go
@@ -68,7 +68,8 @@
 	Status group.Status
 }
 
-// HoldResult is the answer of one serving instance, this one included, to HoldWrites.
+// HoldResult is the answer of one serving instance, this one included, to
+// HoldWrites. Held is false if the call failed.
 type HoldResult struct {
 	Instance string
 	// Held says that the instance holds new write transactions.
--- a/core/failover/failover.go
+++ b/core/failover/failover.go
@@ -54,6 +54,9 @@
 	// that the primary is gone; an earlier view was sent before the peer could
 	// have noticed.
 	agreeAfter = peerMargin + 100*time.Millisecond
+	// peerRecent is the age up to which a peer's view says that the peer is up;
+	// it covers two intervals of heartbeats.
+	peerRecent = 1200 * time.Millisecond
 	// pauseGap is the gap between steps that counts as a pause of this process.
 	// Silence during a pause says nothing about the primary.
 	pauseGap = 250 * time.Millisecond
--- a/core/failover/failover_test.go
+++ b/core/failover/failover_test.go
@@ -202,22 +202,35 @@
 }
 
 var _ = DescribeTable("write gap in the simulation", // guards against a change of primary slower than the targets of M1
-	func(change func(s *sim), bound time.Duration) {
+	func(instances int, change func(s *sim), bound time.Duration) {
 		for seed := range uint64(20) {
-			s := newSim(seed, 3)
+			s := newSim(seed, instances)
 			s.runFor(time.Second)
 			s.maxGap = 0
 			change(s)
 			s.runFor(4 * time.Second)
 			Expect(s.inPlace()).To(BeTrue(), "%s", s.describe())
+			Expect(s.now.Sub(s.lastAck)).To(BeNumerically("<", 100*ms))
 			Expect(s.promotions).NotTo(BeEmpty())
 			Expect(s.maxGap).To(BeNumerically("<", bound), "seed %d", seed)
 			Expect(s.check()).To(BeEmpty())
 		}
 	},
-	Entry("primary out of service", func(s *sim) { s.setOutOfService("m1", true) }, 100*ms),
-	Entry("primary killed", func(s *sim) { s.members["m1"].down = true }, 700*ms),
-	Entry("primary and first promoter killed", func(s *sim) {
+	Entry("primary out of service", 3, func(s *sim) { s.setOutOfService("m1", true) }, 100*ms),
+	Entry("primary out of service, a peer dead", 3, func(s *sim) {
+		s.insts[2].dead = true
+		s.runFor(2 * time.Second)
+		s.maxGap = 0
+		s.setOutOfService("m1", true)
+	}, 100*ms),
+	Entry("primary and all instances but the last of seven killed", 7, func(s *sim) {
+		s.members["m1"].down = true
+		for _, in := range s.insts[:6] {
+			in.dead = true
+		}
+	}, 2*time.Second),
+	Entry("primary killed", 3, func(s *sim) { s.members["m1"].down = true }, 700*ms),
+	Entry("primary and first promoter killed", 3, func(s *sim) {
 		s.members["m1"].down = true
 		s.trap = func(in *instance, a failover.Action) bool {
 			if _, ok := a.(failover.Promote); ok {
@@ -228,5 +241,5 @@
 			return false
 		}
 	}, 2*time.Second),
-	Entry("primary cut off from its group", func(s *sim) { s.cut["m1|m2"], s.cut["m1|m3"] = true, true }, 2*time.Second),
+	Entry("primary cut off from its group", 3, func(s *sim) { s.cut["m1|m2"], s.cut["m1|m3"] = true, true }, 2*time.Second),
 )
--- a/core/failover/planned.go
+++ b/core/failover/planned.go
@@ -95,13 +95,14 @@
 }
 
 // advanceDraining waits until no instance that holds writes still runs one. An
-// instance that did not answer is not waited for: the fence stops its writes.
+// instance that refuses, or that has not been heard of lately, is not waited
+// for: the fence stops its writes.
 func (m *Machine) advanceDraining(now time.Time) {
 	a := &m.attempt
 	pending, running := false, false
 	for _, name := range m.serving {
 		r, answered := a.heldBy[name]
-		pending = pending || !answered
+		pending = pending || (!answered && m.isHeard(now, name))
 		running = running || (r.Held && r.Running > 0)
 	}
 	switch {
@@ -117,6 +118,12 @@
 	}
 }
 
+// isHeard reports whether the instance is this one or was heard of lately.
+func (m *Machine) isHeard(now time.Time, instance string) bool {
+	p, ok := m.peers[instance]
+	return instance == m.cfg.Instance || (ok && now.Sub(p.heardAt) <= peerRecent)
+}
+
 // advanceCatchUp learns the primary's last position and waits for the target
 // to receive it.
 func (m *Machine) advanceCatchUp(now time.Time) {
--- a/core/failover/sim_test.go
+++ b/core/failover/sim_test.go
@@ -513,15 +513,23 @@
 	return ""
 }
 
-// inPlace reports whether every instance serves writes on a primary that a
+// inPlace reports whether every live instance serves writes on a primary that a
 // majority of members follows.
 func (s *sim) inPlace() bool {
+	var view *failover.SetView
 	for _, in := range s.insts {
-		if in.view.Hold || in.view != s.insts[0].view {
+		switch {
+		case in.dead:
+		case in.view.Hold, view != nil && in.view != *view:
 			return false
+		default:
+			view = &in.view
 		}
 	}
-	p, followers := s.members[s.insts[0].view.Primary], 0
+	if view == nil {
+		return false
+	}
+	p, followers := s.members[view.Primary], 0
 	for _, m := range s.members {
 		if p != nil && p.primary && m.current == p.current && m.promised == p.current {
 			followers++
