Drive the rollout by the acceptance state machine of core/bundle

An instance whose only known member is itself counts as current by the store alone. Ran: test/integration, standin/devstack, pkg/entry, core/bundle.

--- a/core/bundle/accept.go
+++ b/core/bundle/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -236,31 +237,50 @@
 	}
 }
 
-// Current reports whether the instance may honour keys: within FreshFor it
-// read the head itself, or exchanged heartbeats with so many instances that
-// they and itself are a majority. A contact counts only if the version that it
-// taught is in force, or was refused as a whole.
-func (t *TakeUp) Current(now time.Time) bool {
+// Current reports whether the instance may honour keys at the time.
+func (t *TakeUp) Current(now time.Time) bool { return now.Before(t.CurrentUntil()) }
+
+// CurrentUntil returns the end of the time for which the instance may honour
+// keys: FreshFor after it last read the head itself, or after the time since
+// which so many instances have answered that they and itself are a majority. A
+// contact counts only if the version that it taught is in force, or was refused
+// as a whole. The zero time means that there is no such contact.
+func (t *TakeUp) CurrentUntil() time.Time {
 	if t.inForce == nil {
-		return false
+		return time.Time{}
 	}
-	if t.counts(t.store, now) {
-		return true
+	since := latest(t.store.settled, t.majoritySince())
+	if since.IsZero() {
+		return time.Time{}
 	}
-	n := 0
+	return since.Add(FreshFor)
+}
+
+// majoritySince returns the latest time since which a majority of the instances
+// with a lease record, this one included, has answered.
+func (t *TakeUp) majoritySince() time.Time {
+	needed := len(t.fellows)/2 + 1
 	if t.fellows[t.self] {
-		n++
+		needed--
+	}
+	if len(t.fellows) == 0 {
+		return time.Time{}
 	}
+	if needed == 0 {
+		// The only instance knows of every publish, because it serves them all.
+		return t.store.settled
+	}
+	times := make([]time.Time, 0, len(t.peers))
 	for _, c := range t.peers {
-		if t.counts(c, now) {
-			n++
+		if !c.settled.IsZero() {
+			times = append(times, c.settled)
 		}
 	}
-	return n >= len(t.fellows)/2+1
-}
-
-func (t *TakeUp) counts(c contact, now time.Time) bool {
-	return !c.settled.IsZero() && now.Sub(c.settled) < FreshFor
+	if len(times) < needed {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[needed-1]
 }
 
 // Accepted reports whether a majority of the live instances has the version in
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -29,15 +29,6 @@
 	// heartbeatTimeout bounds one heartbeat, so that a paused peer does not
 	// hold up the sender.
 	heartbeatTimeout = 400 * time.Millisecond
-	// currentWindow is the time after its last proof of being current for which
-	// an instance serves keyed routes. It bounds how long a cut-off instance
-	// honours a revoked key.
-	currentWindow = 4 * time.Second
-	// fleetReadsPerSecond bounds the reads of one kind that all instances
-	// together make on the store.
-	fleetReadsPerSecond = 20
-	// minStoreInterval is the shortest period of store reads of one instance.
-	minStoreInterval = time.Second
 	// eventQueue is the number of events that may wait for the control loop.
 	eventQueue = 1024
 )
@@ -94,7 +85,6 @@
 	// currentUntil is the end of the time for which the instance may serve
 	// keyed routes without a new proof of being current.
 	currentUntil time.Time
-	leaseUntil   time.Time
 }
 
 // New returns a control plane; call Run to start it.
@@ -105,6 +95,7 @@
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.groups.plane = p
+	p.rollout.core = bundle.NewTakeUp(cfg.Self.ID)
 	p.leases = newLeaseState(p)
 	p.limits.init(p)
 	p.snapshot.Store(&snapshot{})
@@ -167,9 +158,7 @@
 
 // publish replaces the snapshot if it changed.
 func (p *Plane) publish() {
-	next := snapshot{
-		bundle: p.rollout.inForce, currentUntil: p.rollout.currentUntil, leaseUntil: p.leases.validUntil(),
-	}
+	next := snapshot{bundle: p.rollout.core.InForce(), currentUntil: p.rollout.core.CurrentUntil()}
 	if *p.snapshot.Load() != next {
 		p.snapshot.Store(&next)
 	}
@@ -190,7 +179,7 @@
 		return verdict.New(verdict.NotRun, verdict.ShuttingDown, "the instance is shutting down")
 	case time.Now().After(s.currentUntil):
 		return verdict.New(verdict.NotRun, verdict.NoPrimary,
-			"the instance has been cut off from the store and from its peers for %s", currentWindow)
+			"the instance has been cut off from the store and from its peers for %s", bundle.FreshFor)
 	}
 	return nil
 }
@@ -199,7 +188,4 @@
 func (p *Plane) SetDraining() { p.draining.Store(true) }
 
 // storeInterval returns the period of this instance's store reads.
-func (p *Plane) storeInterval() time.Duration {
-	n := len(p.instances) + 1
-	return max(minStoreInterval, time.Duration(n)*time.Second/fleetReadsPerSecond)
-}
+func (p *Plane) storeInterval() time.Duration { return bundle.ReadInterval(len(p.instances) + 1) }
--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -161,7 +161,7 @@
 
 // place tells the machine where members run and who serves the group.
 func (g *groupState) place(ctx context.Context, now time.Time) {
-	b := g.plane.rollout.inForce
+	b := g.plane.rollout.core.InForce()
 	placement := failover.Placement{Serving: g.plane.ranked(now, g.name)}
 	for _, m := range g.spec.Members {
 		placement.Members = append(placement.Members, failover.MemberPlacement{
@@ -258,7 +258,7 @@
 
 // setView passes the present view to the traffic side.
 func (g *groupState) setView() {
-	b := g.plane.rollout.inForce
+	b := g.plane.rollout.core.InForce()
 	if b == nil {
 		return
 	}
--- a/pkg/control/instances.go
+++ b/pkg/control/instances.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mulberrysill/mulberrysill/core/bundle"
 	"github.com/mulberrysill/mulberrysill/pkg/platform"
 	pb "github.com/mulberrysill/mulberrysill/rpc/peer"
 )
@@ -19,7 +20,7 @@
 	lastHeard time.Time
 	beating   bool
 	leaving   bool
-	bundle    head
+	bundle    bundle.Head
 	// asking says that a heartbeat outside the regular period is under way.
 	asking bool
 }
@@ -48,6 +49,7 @@
 	for _, v := range p.instances {
 		v.listed = false
 	}
+	defer p.leases.updateMembers()
 	for _, i := range list {
 		if i.ID == p.cfg.Self.ID {
 			continue
@@ -120,23 +122,10 @@
 		return // an answer of an earlier incarnation of the peer
 	}
 	v.Epoch, v.lastHeard, v.leaving = s.Sender.Epoch, now, s.Leaving
-	v.bundle = head{Version: s.BundleVersion, Digest: s.BundleDigest}
+	v.bundle = bundle.Head{Version: s.BundleVersion, Digest: s.BundleDigest}
 	p.groups.heardFrom(ctx, now, s.Sender.Id, s.Groups)
 	p.groups.addRemoteService(s.Sender, s.Service)
-	p.sawHead(ctx, now, v.bundle, v.PeerAddress)
-	if !asked.IsZero() {
-		p.majorityHeard(now, asked, s.Sender.Id)
-	}
-}
-
-// majorityHeard extends the current window when a majority of the instances
-// with a lease record, this one included, has answered since a common time: an
-// accepted bundle is in force on a majority, so one of them has told of it.
-func (p *Plane) majorityHeard(now, asked time.Time, id string) {
-	p.leases.answered(id, asked)
-	if since, ok := p.leases.majorityAnsweredSince(now); ok {
-		p.extendCurrent(since)
-	}
+	p.sawPeerHead(ctx, now, asked, v)
 }
 
 // sender returns this instance's identity for a message to a peer.
@@ -152,7 +141,7 @@
 		Groups:  p.groups.views(now),
 		Service: p.groups.service(),
 	}
-	if b := p.rollout.inForce; b != nil {
+	if b := p.rollout.core.InForce(); b != nil {
 		s.BundleVersion, s.BundleDigest = b.Spec.Version, b.Digest
 	}
 	if !p.rollout.lastStore.IsZero() {
@@ -185,7 +174,7 @@
 func (p *Plane) FetchBundle(ctx context.Context, r *pb.FetchBundleRequest) (*pb.FetchBundleResponse, error) {
 	answer := &pb.FetchBundleResponse{}
 	err := p.ask(ctx, func(time.Time) {
-		if b := p.rollout.inForce; b != nil && b.Digest == r.Digest {
+		if b := p.rollout.core.InForce(); b != nil && b.Digest == r.Digest {
 			answer.Signed = p.rollout.signed
 		}
 	})
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,21 +24,18 @@
 	// holders are the units of the instances with a lease record in the store
 	// at the last read; nil before the first one.
 	holders map[string]uint32
-	// answeredAt is when this instance last asked a peer that answered.
-	answeredAt map[string]time.Time
 }
 
 func newLeaseState(p *Plane) *leaseState {
 	return &leaseState{
-		plane: p, answeredAt: map[string]time.Time{},
+		plane: p,
 		core: lease.New(lease.Config{
 			ID: p.cfg.Self.ID, Zone: p.cfg.Self.Zone, Epoch: lease.Epoch(p.cfg.Self.Epoch),
 		}, p.start),
 	}
 }
 
-func (l *leaseState) epoch() uint64         { return uint64(l.core.Status().Epoch) }
-func (l *leaseState) validUntil() time.Time { return l.core.Status().Deadline }
+func (l *leaseState) epoch() uint64 { return uint64(l.core.Status().Epoch) }
 
 // step feeds one event and executes the actions in order.
 func (l *leaseState) step(ctx context.Context, now time.Time, ev lease.Event) {
@@ -216,6 +212,7 @@
 			l.holders[record.ID] += record.Units
 		}
 	}
+	l.updateMembers()
 }
 
 // fleetUnits returns the units of every instance, with this instance's own
@@ -229,41 +226,23 @@
 	return units
 }
 
-// answered notes that a peer answered a question asked at the time.
-func (l *leaseState) answered(id string, asked time.Time) {
-	if asked.After(l.answeredAt[id]) {
-		l.answeredAt[id] = asked
-	}
-}
-
-// majorityAnsweredSince returns the latest time since which a majority of the
-// instances with a lease record has answered. Before the records were read, as
-// on a start during a store outage, the platform's list stands in for them.
-func (l *leaseState) majorityAnsweredSince(now time.Time) (time.Time, bool) {
-	members := l.holders
-	if members == nil {
-		members = map[string]uint32{}
+// updateMembers tells the rollout which instances have a lease record. Before
+// the records were read, as on a start during a store outage, the platform's
+// list stands in for them.
+func (l *leaseState) updateMembers() {
+	ids := []string{l.plane.cfg.Self.ID}
+	if l.holders != nil {
+		for id := range l.holders {
+			if id != l.plane.cfg.Self.ID {
+				ids = append(ids, id)
+			}
+		}
+	} else {
 		for id, v := range l.plane.instances {
 			if v.listed {
-				members[id] = 0
+				ids = append(ids, id)
 			}
 		}
 	}
-	times := []time.Time{now} // this instance itself
-	count := 1
-	for id := range members {
-		if id == l.plane.cfg.Self.ID {
-			continue
-		}
-		count++
-		if at, ok := l.answeredAt[id]; ok {
-			times = append(times, at)
-		}
-	}
-	majority := count/2 + 1
-	if len(members) == 0 || len(times) < majority {
-		return time.Time{}, false
-	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[majority-1], true
+	l.plane.rollout.core.SetInstances(ids)
 }
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -52,10 +52,10 @@
 		if left := held.Deadline.Sub(now); left > 0 {
 			s.LeaseRemainingMs = uint64(left.Milliseconds())
 		}
-		if b := p.rollout.inForce; b != nil {
+		if b := p.rollout.core.InForce(); b != nil {
 			s.BundleVersion, s.BundleDigest = b.Spec.Version, b.Digest
 		}
-		s.Current, s.Leaving = now.Before(p.rollout.currentUntil), p.draining.Load()
+		s.Current, s.Leaving = p.rollout.core.Current(now), p.draining.Load()
 		if !p.rollout.lastStore.IsZero() {
 			s.StoreAgeMs = uint64(now.Sub(p.rollout.lastStore).Milliseconds())
 		}
@@ -71,11 +71,11 @@
 func (p *Plane) FleetStatus(ctx context.Context) (*adminpb.FleetStatusResponse, error) {
 	s := &adminpb.FleetStatusResponse{}
 	err := p.ask(ctx, func(now time.Time) {
-		r := &p.rollout
-		s.HeadVersion, s.HeadDigest = r.newest.Version, r.newest.Digest
+		newest := p.rollout.core.Newest()
+		s.HeadVersion, s.HeadDigest = newest.Version, newest.Digest
 		self := &adminpb.InstanceTakeUp{Id: p.cfg.Self.ID, Zone: p.cfg.Self.Zone, Leaving: p.draining.Load()}
-		if r.inForce != nil {
-			self.BundleVersion, self.BundleDigest = r.inForce.Spec.Version, r.inForce.Digest
+		if b := p.rollout.core.InForce(); b != nil {
+			self.BundleVersion, self.BundleDigest = b.Spec.Version, b.Digest
 		}
 		s.Instances = append(s.Instances, self)
 		for id, v := range p.instances {
