--- a/standin/stack/process.go
+++ b/standin/stack/process.go
@@ -105,3 +105,10 @@
 }
 
 func itoa[T int | int64](n T) string { return strconv.FormatInt(int64(n), 10) }
+
+// PID returns the process id.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -52,6 +52,8 @@
 	// Connections and Slots are per member; ConnectCost is the time of a new connection.
 	Connections, Slots int
 	ConnectCost        time.Duration
+	// OpenRate is the rate of the open routes in requests/s; the burst is a fifth.
+	OpenRate float64
 	// ApplyLag is the replication lag of replicas.
 	ApplyLag time.Duration
 	// Log receives the log lines of all processes; nil discards them.
@@ -80,6 +82,9 @@
 	if o.ConnectCost == 0 {
 		o.ConnectCost = 12 * time.Millisecond
 	}
+	if o.OpenRate == 0 {
+		o.OpenRate = 1000
+	}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -204,7 +209,7 @@
 		s.spec.Routes = append(s.spec.Routes,
 			bundle.Route{Name: name, Group: name, Database: "app", Access: bundle.ReadWrite, Workspaces: names},
 			bundle.Route{Name: name + "-ro", Group: name, Database: "app", Access: bundle.ReadOnly, Workspaces: names},
-			bundle.Route{Name: name + "-open", Group: name, Database: "app", Access: bundle.ReadOnly, Open: true, Rate: 1000, Burst: 200})
+			bundle.Route{Name: name + "-open", Group: name, Database: "app", Access: bundle.ReadOnly, Open: true, Rate: s.opts.OpenRate, Burst: s.opts.OpenRate / 5})
 	}
 	return nil
 }
