--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GO ?= go
 GOFILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$')
 
-.PHONY: run test build check tools generate model unit
+.PHONY: run test build check tools generate model unit capacity
 
 run: build
 	./bin/devstack run --deployment $(DEPLOYMENT)
@@ -37,3 +37,7 @@
 	  $(GO) build -o bin/gen/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp; \
 	  protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative rpc/$$p/$$p.proto; \
 	done
+
+# Rewrites the measured tables of docs/CAPACITY.md; takes about 2 minutes.
+capacity:
+	$(GO) run ./cmd/devcapacity
