Give up transactions on members that do not answer

Cause: a transaction on a paused or dead primary hung until TCP noticed, because nothing bounded the wait for its answer. Change: the pool closes attached connections of a member that has answered no status call for 2 s; the time after a pause of the process itself does not count.

--- a/pkg/backend/acquire.go
+++ b/pkg/backend/acquire.go
@@ -161,7 +161,7 @@
 		if m.Name != g.view.Primary && !m.isUsable(now) {
 			continue
 		}
-		load := m.attached + m.waiting
+		load := len(m.attached) + m.waiting
 		candidates = append(candidates, consistency.Member{
 			Name: m.Name, Zone: m.Zone, InService: m.inService, Known: m.known, Status: m.status,
 			Load: load, Saturated: load >= m.limit(now),
--- a/pkg/backend/config.go
+++ b/pkg/backend/config.go
@@ -28,6 +28,10 @@
 	// statusLifetime is the age above which a status no longer makes a member a
 	// candidate for reads: a member that does not answer would hang them.
 	statusLifetime = 400 * time.Millisecond
+	// lostAfter is the time without any answer to status calls after which the
+	// transactions on a member are given up. Status calls use no slot, so even an
+	// overloaded member answers them; clients of a dead one would hang otherwise.
+	lostAfter = 2 * time.Second
 	// dialTimeout bounds opening a pooled connection, authentication included.
 	dialTimeout = 3 * time.Second
 	// waitCallTimeout is the timeout that mulberry_wait is given.
@@ -49,6 +53,9 @@
 	maxOpenBackoff = time.Second
 	// upkeepInterval is the time between checks of the idle connections.
 	upkeepInterval = 100 * time.Millisecond
+	// pauseThreshold is the time between two of these checks above which the
+	// process counts as having been paused.
+	pauseThreshold = 500 * time.Millisecond
 )
 
 // Member is a member of the group as the bundle declares it.
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -9,7 +9,8 @@
 )
 
 // Conn is a connection that a session holds for one transaction. Only the
-// session's goroutines use it, and only until Release.
+// session's goroutines use it, and only until Release. Its network connection is
+// closed meanwhile if the member has not answered status calls for 2 s.
 type Conn struct {
 	group     *Group
 	pooled    *pooled
@@ -57,12 +58,13 @@
 	}
 	p, g := c.pooled, c.group
 	m := p.member
-	// Bytes in the buffer belong to an answer that nobody has read.
+	// A connection that was given up fails SetDeadline; bytes in the buffer belong
+	// to an answer that nobody has read.
 	reusable = reusable && p.wire.fe.ReadBufferLen() == 0 && p.wire.conn.SetDeadline(time.Time{}) == nil
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.lastWorkspace = c.workspace
-	m.attached--
+	delete(m.attached, c)
 	if c.read {
 		g.reads--
 	} else {
--- a/pkg/backend/group.go
+++ b/pkg/backend/group.go
@@ -123,7 +123,7 @@
 	members = map[string]MemberStats{}
 	for name, m := range g.members {
 		members[name] = MemberStats{
-			Open: m.open, Opening: m.opening, Attached: m.attached, Waiting: m.waiting, Limit: m.limit(time.Now()),
+			Open: m.open, Opening: m.opening, Attached: len(m.attached), Waiting: m.waiting, Limit: m.limit(time.Now()),
 		}
 	}
 	return members, g.held
--- a/pkg/backend/group_test.go
+++ b/pkg/backend/group_test.go
@@ -74,6 +74,19 @@
 		}
 	})
 
+	It("gives up transactions on a member that does not answer: a checkout that hangs", func() {
+		b := newBench(noCost, nil)
+		b.replicated(b.run("CREATE TABLE stock (n INTEGER)"))
+		c := b.acquire(write("loja"))
+		b.members[0].PauseAnswers()
+		defer b.members[0].ResumeAnswers()
+		start := time.Now()
+		_, _, err := query(c, "INSERT INTO stock VALUES (1)")
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("~", 2500*time.Millisecond, 700*time.Millisecond))
+		c.Release(true)
+	})
+
 	It("does not hand out connections of an earlier incarnation: a read of discarded entries", func() {
 		b := newBench(noCost, nil)
 		p := b.run("CREATE TABLE stock (n INTEGER)")
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -33,7 +33,8 @@
 	open, opening int
 	// openTo, openingTo and waitingFor count by database.
 	openTo, openingTo, waitingFor map[string]int
-	attached, waiting             int
+	waiting                       int
+	attached                      map[*Conn]struct{}
 	rate                          *admission.OpenRate
 	failures                      int
 	retryAt                       time.Time
@@ -56,7 +57,8 @@
 	return &member{
 		Member: m, controls: &controls{cfg: cfg, member: m}, kick: make(chan struct{}, 1),
 		openTo: map[string]int{}, openingTo: map[string]int{}, waitingFor: map[string]int{},
-		rate: admission.NewOpenRate(opensPerSecond, openBurst),
+		attached: map[*Conn]struct{}{},
+		rate:     admission.NewOpenRate(opensPerSecond, openBurst),
 	}
 }
 
@@ -145,7 +147,7 @@
 	}
 	_, charged, _ := g.queue.Next(func(other admission.Item) bool { return other.ID == it.ID })
 	c := &Conn{group: g, pooled: p, workspace: it.Workspace, read: w.request.Read, charged: charged, grantedAt: time.Now()}
-	m.attached++
+	m.attached[c] = struct{}{}
 	if c.read {
 		g.reads++
 	} else {
@@ -213,6 +215,20 @@
 	p.wire.terminate()
 }
 
+// giveUpLost closes the connections of running transactions on a member that has
+// not answered for lostAfter since the time given. Their sessions see a lost
+// connection. The caller holds g.mu.
+func (m *member) giveUpLost(since, now time.Time) {
+	if now.Sub(since) < lostAfter || now.Sub(m.answeredAt) < lostAfter {
+		return
+	}
+	for c := range m.attached {
+		if now.Sub(c.grantedAt) >= lostAfter {
+			c.pooled.wire.conn.Close()
+		}
+	}
+}
+
 // closeSurplus closes idle connections beyond the budget, those that were idle
 // longest first, and all of a member out of service. The caller holds g.mu.
 func (g *Group) closeSurplus(m *member) {
--- a/pkg/backend/view.go
+++ b/pkg/backend/view.go
@@ -126,21 +126,36 @@
 }
 
 // upkeep keeps the pools within their budgets, closes idle connections that the
-// member has closed, and opens warm ones, until the group is closed.
+// member has closed, gives up transactions on lost members, and opens warm
+// connections, until the group is closed.
 func (g *Group) upkeep() {
 	defer g.running.Done()
+	// awakeSince is the end of the last pause of this process. A member is not
+	// lost for lack of answers that the process was too late to ask for.
+	last := time.Now()
+	awakeSince := last
 	for g.pause(upkeepInterval) {
-		g.mu.Lock()
-		if !g.isClosed {
-			now := time.Now()
-			g.moveWaiters()
-			for _, m := range g.members {
-				g.closeIdle(m, func(p *pooled) bool { return !isQuiet(p.wire.conn) })
-				g.closeSurplus(m)
-				g.openWarm(m, now)
-				g.dispatch(m)
-			}
+		now := time.Now()
+		if now.Sub(last) > pauseThreshold {
+			awakeSince = now
 		}
-		g.mu.Unlock()
+		last = now
+		g.upkeepOnce(awakeSince, now)
+	}
+}
+
+func (g *Group) upkeepOnce(awakeSince, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isClosed {
+		return
+	}
+	g.moveWaiters()
+	for _, m := range g.members {
+		m.giveUpLost(awakeSince, now)
+		g.closeIdle(m, func(p *pooled) bool { return !isQuiet(p.wire.conn) })
+		g.closeSurplus(m)
+		g.openWarm(m, now)
+		g.dispatch(m)
 	}
 }
