Model a restarted process that keeps its owner identity

The simulated instance now gets its placement again after a pause: its bounded queue had dropped one, which showed as a switchover without a cause after 3218 runs of the property.

--- a/core/failover/sim_test.go
+++ b/core/failover/sim_test.go
@@ -251,7 +251,9 @@
 	}
 }
 
-// wake ends an instance's pause; what has waited is delivered at once.
+// wake ends an instance's pause; what has waited is delivered at once. The
+// queue of a paused instance is bounded, so the placement is delivered anew: a
+// bundle is not lost, unlike messages.
 func (s *sim) wake(in *instance) {
 	in.stopped = false
 	waiting := in.paused
@@ -259,6 +261,7 @@
 	for _, f := range waiting {
 		s.local(in, f)
 	}
+	s.local(in, func() { s.step(in, s.placement()) })
 }
 
 // setOutOfService changes a member's placement on every instance.
--- a/model/promotion.pml
+++ b/model/promotion.pml
@@ -7,7 +7,8 @@
  * Properties: an acknowledged write is in the log of every later primary, and
  * none is acknowledged that a later primary lacks; one primary per term.
  *
- * Broken variants: NO_FENCE, CONFIRM_SHORT, FENCE_SHORT, BARE_INDEX.
+ * Broken variants: NO_FENCE, CONFIRM_SHORT, FENCE_SHORT, BARE_INDEX, SAME_OWNER
+ * (a restarted process uses the owner identity of its predecessor).
  */
 #define MEMBERS 3
 #define MAJORITY 2
@@ -25,8 +26,15 @@
 #define FENCED MAJORITY
 #endif
 
+#ifdef SAME_OWNER
+#define OWNER(me) 1
+#else
+#define OWNER(me) (me + 1)
+#endif
+#define GRANTS(m, t, me) (promised[m] < t || (promised[m] == t && owner[m] == OWNER(me)))
+
 byte promised[MEMBERS] = 1;
-byte owner[MEMBERS];          /* promoter + 1; 0 is the owner of term 1 */
+byte owner[MEMBERS];          /* 0 is the owner of term 1 */
 byte current[MEMBERS] = 1;
 bit primary[MEMBERS];
 byte size[MEMBERS];
@@ -80,7 +88,7 @@
 inline promote(m, t, me) {
     d_step {
         promised[m] = t;
-        owner[m] = me + 1;
+        owner[m] = OWNER(me);
         current[m] = t;
         primary[m] = 1;
         assert(leader[t] == 0 || leader[t] == m + 1);
@@ -185,10 +193,10 @@
             :: m = 2
             fi;
             if
-            :: !(fenced & (1 << m)) && promised[m] < t ->
+            :: !(fenced & (1 << m)) && GRANTS(m, t, me) ->
 #ifndef NO_FENCE
                 promised[m] = t;
-                owner[m] = me + 1;
+                owner[m] = OWNER(me);
 #endif
                 /* A lost answer is covered by no question at all: the promise
                  * by itself only takes steps away from others. */
@@ -210,7 +218,7 @@
 #ifdef NO_FENCE
                 :: promised[m] < t -> promote(m, t, me)
 #else
-                :: promised[m] == t && owner[m] == me + 1 && !(primary[m] && current[m] == t) -> promote(m, t, me)
+                :: promised[m] == t && owner[m] == OWNER(me) && !(primary[m] && current[m] == t) -> promote(m, t, me)
 #endif
                 :: else
                 fi;
