Check key and currency before each statement of an open transaction

Cause: only the first statement of a transaction was checked. On an instance that was paused, and cut off from the store, while a key was revoked, a COMMIT that waited in the socket was acknowledged on waking, over 5 s after the publish.

Change: a statement that begins a request in an open transaction repeats the checks of the point of effect; a refusal rolls the transaction back and ends the session, 'not run'. A shutdown still lets open transactions finish, so that Serving tells of it last.

The other two specs check idle, open and busy sessions and new connections, with the instance's store link working and frozen.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -175,11 +175,12 @@
 	switch {
 	case s.bundle == nil:
 		return verdict.New(verdict.NotRun, verdict.NoPrimary, "the instance has no configuration yet")
-	case p.draining.Load():
-		return verdict.New(verdict.NotRun, verdict.ShuttingDown, "the instance is shutting down")
 	case time.Now().After(s.currentUntil):
 		return verdict.New(verdict.NotRun, verdict.NoPrimary,
 			"the instance has been cut off from the store and from its peers for %s", bundle.FreshFor)
+	case p.draining.Load():
+		// It comes last, because open transactions go on during a shutdown only.
+		return verdict.New(verdict.NotRun, verdict.ShuttingDown, "the instance is shutting down")
 	}
 	return nil
 }
--- a/pkg/frontend/request.go
+++ b/pkg/frontend/request.go
@@ -116,6 +116,20 @@
 	return s.srv.cfg.Policy.Serving()
 }
 
+// checkOpen repeats the checks before a request in an open transaction, which
+// the returned error ends. A shutdown lets open transactions finish.
+func (s *session) checkOpen() *verdict.Error {
+	err := s.checkEffect()
+	if err == nil {
+		return nil
+	}
+	v := notRun(err)
+	if v.Code == verdict.ShuttingDown {
+		return nil
+	}
+	return verdict.New(v.Verdict, v.Code, "%s; the transaction was rolled back", v.Message).AsFatal()
+}
+
 // beginWait returns the context of the wait before a request; a cancel request
 // ends it.
 func (s *session) beginWait() (context.Context, func()) {
@@ -266,10 +280,17 @@
 	if s.pending.len() == 0 && a.boundary {
 		a.resync()
 	}
-	if !a.boundary || a.predicted == insideTransaction {
+	if !a.boundary {
 		s.mu.Unlock()
 		return a, true, nil
 	}
+	if a.predicted == insideTransaction {
+		s.mu.Unlock()
+		if v := s.checkOpen(); v != nil {
+			return nil, false, s.afterSettling(a, v)
+		}
+		return a, true, nil
+	}
 	share := a.predicted == outsideTransaction && a.read == read && !a.cancelled && a.shared < maxSharedRequests
 	s.mu.Unlock()
 	if !share {
--- a/standin/stack/publish.go
+++ b/standin/stack/publish.go
@@ -73,6 +73,15 @@
 	return &adminpb.PublishRequest{Signed: signed, PublishId: rand.Text()}, err
 }
 
+// PublishThrough sends a request to one instance. Spec does not learn of it.
+func (s *Stack) PublishThrough(ctx context.Context, e *Entry, request *adminpb.PublishRequest) (*adminpb.PublishResponse, error) {
+	ctx, err := withToken(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return e.Admin.Publish(ctx, request)
+}
+
 // Status returns the state of an instance.
 func (s *Stack) Status(ctx context.Context, e *Entry) (*adminpb.InstanceStatus, error) {
 	ctx, err := withToken(ctx)
--- /dev/null
+++ b/test/integration/revocation_test.go
@@ -0,0 +1,181 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/bundle"
+	"github.com/mulberrysill/mulberrysill/standin/stack"
+)
+
+// revocationBound is the "seconds" of P6: the age at which an instance stops
+// trusting its bundle (4 s), and one second for the rest.
+const revocationBound = 5 * time.Second
+
+func sqlState(err error) string {
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return ""
+}
+
+// setKeys publishes the workspace with these keys and returns the earlier ones.
+func setKeys(ctx context.Context, s *stack.Stack, workspace string, keys []bundle.Key) []bundle.Key {
+	GinkgoHelper()
+	var before []bundle.Key
+	_, err := s.Publish(ctx, func(spec *bundle.Spec) {
+		i := slices.IndexFunc(spec.Workspaces, func(w bundle.Workspace) bool { return w.Name == workspace })
+		before = slices.Clone(spec.Workspaces[i].Keys)
+		spec.Workspaces[i].Keys = keys
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return before
+}
+
+// awaitRefusal waits for the error that ends a session that sends nothing.
+func awaitRefusal(ctx context.Context, conn *pgconn.PgConn, until time.Time) error {
+	waitCtx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for {
+		if _, err := conn.ReceiveMessage(waitCtx); err != nil {
+			return err
+		}
+	}
+}
+
+var _ = Describe("a revoked key", Ordered, func() {
+	var s *stack.Stack
+	var entry *stack.Entry // the one whose clients are watched
+
+	BeforeAll(func(ctx SpecContext) {
+		s = start(ctx, stack.Options{Entries: 3, Workspaces: []bundle.Workspace{
+			{Name: "utileria", Rate: 5000, Burst: 1000}, {Name: "taller", Rate: 5000, Burst: 1000},
+		}})
+		entry = s.Entries[2]
+		mustExec(ctx, connect(ctx, s.URL(s.Entries[0], "utileria", "g1")), "CREATE TABLE invoice (id int)")
+	})
+
+	// restore gives the key back after a revocation.
+	restore := func(ctx context.Context, keys []bundle.Key) {
+		GinkgoHelper()
+		setKeys(ctx, s, "taller", keys)
+		Expect(s.AwaitInForce(ctx, s.Spec().Version)).To(Succeed())
+	}
+
+	rows := func(ctx context.Context) string {
+		GinkgoHelper()
+		return mustExec(ctx, connect(ctx, s.URL(s.Entries[0], "utileria", "g1")), "SELECT count(*) FROM invoice")[0][0]
+	}
+
+	// revoke revokes the key and checks every kind of session on the entry. The
+	// instance may say that the key was revoked or that it is cut off.
+	revoke := func(ctx context.Context, codes ...string) []bundle.Key {
+		GinkgoHelper()
+		url := s.URL(entry, "taller", "g1")
+		idle, open, busy := connect(ctx, url), connect(ctx, url), connect(ctx, url)
+		mustExec(ctx, open, "BEGIN")
+		mustExec(ctx, open, fmt.Sprintf("INSERT INTO invoice VALUES (%d)", time.Now().UnixNano()))
+		keys := setKeys(ctx, s, "taller", nil)
+		deadline := time.Now().Add(revocationBound)
+
+		By("refusing requests")
+		refusals := map[string]error{}
+		for time.Now().Before(deadline) {
+			if _, err := exec(ctx, busy, "SELECT 1"); err != nil {
+				refusals["busy session"] = err
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		By("refusing a new connection")
+		for time.Now().Before(deadline) {
+			conn, err := pgconn.Connect(ctx, url)
+			if err == nil {
+				// A cut-off instance may know the client and refuse its request.
+				_, err = exec(ctx, conn, "SELECT 1")
+				_ = conn.Close(ctx)
+			}
+			if err != nil {
+				refusals["new connection"] = err
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if len(codes) == 1 {
+			// The instance has the bundle, so it ends silent sessions by itself.
+			refusals["idle session"] = awaitRefusal(ctx, idle, deadline)
+			refusals["open transaction"] = awaitRefusal(ctx, open, deadline)
+		} else {
+			time.Sleep(time.Until(deadline))
+			_, refusals["idle session"] = exec(ctx, idle, "SELECT 1")
+			_, refusals["open transaction"] = exec(ctx, open, "COMMIT")
+		}
+		Expect(refusals).To(HaveLen(4))
+		for name, err := range refusals {
+			Expect(err).To(HaveOccurred(), name)
+			Expect(outcome(err)).To(Equal("not run"), "%s: %v", name, err)
+			if name != "new connection" || sqlState(err) != "28P01" {
+				// A key that the bundle lacks is a wrong key.
+				Expect(sqlState(err)).To(BeElementOf(codes), "%s: %v", name, err)
+			}
+		}
+		_, err := pgconn.Connect(ctx, url)
+		if err == nil {
+			Expect(codes).To(ContainElement("57P03"))
+		}
+		Expect(rows(ctx)).To(Equal("0"), "the open transaction was rolled back")
+		return keys
+	}
+
+	// Guards against sessions that outlive their key.
+	It("stops idle, open and busy sessions and new connections (P6)", func(ctx SpecContext) {
+		restore(ctx, revoke(ctx, "28000"))
+	}, SpecTimeout(time.Minute))
+
+	// Guards against an instance that learns of bundles from the store only.
+	It("stops them on an instance that cannot reach the store (P6)", func(ctx SpecContext) {
+		Expect(entry.Store.Freeze()).To(Succeed())
+		keys := revoke(ctx, "28000", "57P03")
+		entry.Store.Restore()
+		restore(ctx, keys)
+	}, SpecTimeout(time.Minute))
+
+	// Guards against an instance that wakes up and serves on the bundle that it
+	// had before. The requests wait in its sockets when it wakes.
+	It("admits nothing on an instance that was paused and cut off from the store (P6)", func(ctx SpecContext) {
+		url := s.URL(entry, "taller", "g1")
+		idle, open := connect(ctx, url), connect(ctx, url)
+		mustExec(ctx, open, "BEGIN")
+		mustExec(ctx, open, "INSERT INTO invoice VALUES (1)")
+		Expect(entry.Store.Freeze()).To(Succeed())
+		Expect(entry.Pause()).To(Succeed())
+		keys := setKeys(ctx, s, "taller", nil)
+		answers := make(chan error, 2)
+		go func() {
+			_, err := exec(ctx, idle, "INSERT INTO invoice VALUES (2)")
+			answers <- err
+		}()
+		go func() {
+			_, err := exec(ctx, open, "COMMIT")
+			answers <- err
+		}()
+		time.Sleep(revocationBound)
+		Expect(entry.Resume()).To(Succeed())
+		for range cap(answers) {
+			var err error
+			Eventually(answers).WithTimeout(revocationBound).Should(Receive(&err))
+			Expect(outcome(err)).To(Equal("not run"), "%v", err)
+		}
+		Expect(rows(ctx)).To(Equal("0"))
+		entry.Store.Restore()
+		restore(ctx, keys)
+	}, SpecTimeout(time.Minute))
+})
