Keep a leaving primary in use until its switchover, for at most 2 s

Cause: a primary out of service got no writes from the moment at which an instance applied the bundle, while other instances applied it up to a second later and the switchover waits for all of them, so the planned gap could reach a second.

--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -24,6 +24,11 @@
 // memberCallTimeout bounds a fence or a promotion.
 const memberCallTimeout = 300 * time.Millisecond
 
+// switchoverGrace is the time for which a primary that was taken out of service
+// still gets writes. Instances apply a bundle up to about 1 s apart, and writes
+// that waited from the first instance's start would see that as a gap.
+const switchoverGrace = 2 * time.Second
+
 // holdCallTimeout bounds one request to a peer to hold writes. It is short,
 // because writes already wait while it runs.
 const holdCallTimeout = 200 * time.Millisecond
@@ -47,6 +52,11 @@
 	machine   *failover.Machine
 	view      failover.SetView
 	nextTick  time.Time
+	// leavingMember is the present primary if it is out of service, and
+	// leavingSince the start of that. inGrace says that it still gets writes.
+	leavingMember string
+	leavingSince  time.Time
+	inGrace       bool
 }
 
 func (s *groupSet) all() map[string]*groupState {
@@ -82,6 +92,7 @@
 		}
 	}
 	for _, g := range next {
+		g.noteLeaving(now)
 		g.place(ctx, now)
 		g.setView()
 	}
@@ -155,6 +166,7 @@
 		}
 		g.nextTick = now.Add(g.machine.TickInterval())
 		g.place(ctx, now)
+		g.noteLeaving(now)
 		g.step(ctx, now, failover.Tick{})
 	}
 }
@@ -268,12 +280,39 @@
 	}
 	units := g.plane.leases.fleetUnits()
 	for _, m := range g.spec.Members {
-		v.InService[m.Name] = b.MemberInService(m)
+		v.InService[m.Name] = b.MemberInService(m) || g.awaitsSwitchover(m.Name)
 		v.Budget[m.Name] = admission.Split(m.Connections, units, lease.TotalUnits)[g.plane.cfg.Self.ID]
 	}
 	g.backend.SetView(v)
 }
 
+// noteLeaving tracks for how long the present primary has been out of service,
+// and withdraws its writes when the switchover takes too long.
+func (g *groupState) noteLeaving(now time.Time) {
+	b := g.plane.rollout.core.InForce()
+	out := false
+	for _, m := range g.spec.Members {
+		out = out || (m.Name == g.view.Primary && !b.MemberInService(m))
+	}
+	switch {
+	case !out:
+		g.leavingMember = ""
+	case g.leavingMember != g.view.Primary:
+		g.leavingMember, g.leavingSince = g.view.Primary, now
+	}
+	grace := out && now.Sub(g.leavingSince) < switchoverGrace
+	if grace != g.inGrace {
+		g.inGrace = grace
+		g.setView()
+	}
+}
+
+// awaitsSwitchover reports whether the member is the primary and still gets
+// writes although it is out of service.
+func (g *groupState) awaitsSwitchover(member string) bool {
+	return g.inGrace && member == g.leavingMember && member == g.view.Primary
+}
+
 func (g *groupState) fence(ctx context.Context, a failover.Fence) {
 	callCtx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 	defer cancel()
