--- /dev/null
+++ b/core/lease/bench_test.go
@@ -0,0 +1,84 @@
+package lease_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/mulberrysill/mulberrysill/core/lease"
+)
+
+var cellSizes = []int{3, 7, 30, 100, 300}
+
+// joined returns an instance of a cell that has joined and holds its units.
+func joined(size int) (*instance, lease.Fleet, time.Time) {
+	a := newInstance("a")
+	var ids []string
+	for i := range size - 1 {
+		id := fmt.Sprintf("i%03d", i)
+		ids = append(ids, id)
+		rec := lease.Record{ID: id, Epoch: epoch(1), Units: lease.TotalUnits / uint32(size)}
+		key := lease.HolderKey(id, epoch(1))
+		a.rows[key] = lease.Row{Key: key, Value: rec.Encode(), Version: 1}
+	}
+	f := peers(ids...)
+	f.Witnesses = f.Witnesses[:min(lease.MaxWitnesses, len(ids))]
+	free := lease.Pool{Units: lease.TotalUnits - uint32(size-1)*(lease.TotalUnits/uint32(size))}
+	a.rows[lease.PoolKey] = lease.Row{Key: lease.PoolKey, Value: free.Encode(), Version: 1}
+	a.step(start, f)
+	return a, f, a.run(start, 10*time.Second)
+}
+
+// BenchmarkTick is one period of the control loop: the view of the cell, a tick,
+// and the promises that came in.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range cellSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			a, f, now := joined(size)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(lease.TickEvery)
+				a.step(now, f)
+				a.step(now, lease.Tick{})
+				for _, w := range f.Witnesses {
+					a.promise(now, w.ID)
+				}
+			}
+			b.ReportMetric(heapOf(func() any { i, _, _ := joined(size); return i.Lease }), "state-B")
+		})
+	}
+}
+
+// BenchmarkWitness is the cost of a promise to each of the instances that have
+// this one as a witness.
+func BenchmarkWitness(b *testing.B) {
+	for _, holders := range []int{1, 5, 50, 500} {
+		b.Run(fmt.Sprint(holders), func(b *testing.B) {
+			l := lease.New(lease.Config{ID: "w", Epoch: epoch(0)}, start)
+			now := start.Add(time.Minute)
+			var asked []lease.PromiseAsked
+			for i := range holders {
+				asked = append(asked, lease.PromiseAsked{From: fmt.Sprint(i), Epoch: epoch(i)})
+			}
+			for b.Loop() {
+				now = now.Add(lease.RenewEvery)
+				for _, ev := range asked {
+					l.Step(now, ev)
+				}
+			}
+		})
+	}
+}
+
+// heapOf returns the bytes of live heap that the value holds.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
