Test zones and backend servers that leave and come back

The member stand-in counts data statements of ordinary connections at GET /statements; the count must stand still 3 s after the publish and grow after the return. No request may fail.

--- a/standin/member/control.go
+++ b/standin/member/control.go
@@ -11,6 +11,7 @@
 // injects faults into a member in another process:
 //
 //	GET  /status                     the status row as JSON
+//	GET  /statements                 Statements as a JSON number
 //	POST /lag?ms=N                   SetLag
 //	POST /pause, POST /resume        PauseAnswers, ResumeAnswers
 //	POST /lose?count=N               LoseAnswers
@@ -22,6 +23,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(m.Status())
 	})
+	mux.HandleFunc("GET /statements", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(m.Statements())
+	})
 	post := func(path string, act func()) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, _ *http.Request) {
 			act()
--- a/standin/member/execute.go
+++ b/standin/member/execute.go
@@ -47,6 +47,7 @@
 	if s.control {
 		return "", newError(codeInsufficientRights, "a control connection takes mulberry calls only")
 	}
+	s.m.faults.countStatement()
 	ctx, end := s.beginStatement()
 	defer end()
 	if st.verb == "COPY" {
--- a/standin/member/faults.go
+++ b/standin/member/faults.go
@@ -19,6 +19,8 @@
 	links       map[net.Conn]string
 	received    [][]byte
 	startups    []map[string]string
+	// statements counts the data statements of ordinary connections.
+	statements int
 }
 
 // PauseAnswers holds back every answer to clients and control connections.
@@ -148,6 +150,21 @@
 	return list
 }
 
+// Statements returns the number of data statements that ordinary connections
+// have started. Settings and transaction commands do not count, so a pool that
+// keeps a connection ready leaves the number as it is.
+func (m *Member) Statements() int {
+	m.faults.mu.Lock()
+	defer m.faults.mu.Unlock()
+	return m.faults.statements
+}
+
+func (f *faults) countStatement() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statements++
+}
+
 func (f *faults) recordStartup(parameters map[string]string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -8,6 +8,7 @@
 	"crypto/ed25519"
 	"crypto/rand"
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"io"
 	mathrand "math/rand/v2"
@@ -295,6 +296,22 @@
 	return nil
 }
 
+// Statements returns the number of data statements that have reached the member
+// through pooled connections.
+func (m *Member) Statements(ctx context.Context) (int, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.control+"/statements", nil)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, errors.Wrapf(err, "control %s", m.Name)
+	}
+	defer answer.Body.Close()
+	var n int
+	return n, errors.Wrapf(json.NewDecoder(answer.Body).Decode(&n), "control %s", m.Name)
+}
+
 // writeSecrets writes the secrets that all instances share.
 func (s *Stack) writeSecrets() error {
 	secrets := map[string]string{
--- /dev/null
+++ b/test/integration/zone_test.go
@@ -0,0 +1,170 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/bundle"
+	"github.com/mulberrysill/mulberrysill/standin/stack"
+)
+
+// leaveBound is the "few seconds" of P8 and P12.
+const leaveBound = 3 * time.Second
+
+// served counts the requests of background clients.
+type served struct {
+	mu             sync.Mutex
+	reads, writes  int
+	readErrors     []error
+	writeErrors    []error
+	connectFailure []error
+}
+
+// readers is above the slots of one member, so that reads need both replicas.
+const readers = 8
+
+// serve runs readers and a writer on each instance until the returned function
+// is called.
+func serve(ctx context.Context, s *stack.Stack, entries ...*stack.Entry) func() *served {
+	runCtx, cancel := context.WithCancel(ctx)
+	result := &served{}
+	var done sync.WaitGroup
+	run := func(e *stack.Entry, route, sql string, count *int, failed *[]error) {
+		done.Go(func() {
+			var conn *pgconn.PgConn
+			for runCtx.Err() == nil {
+				var err error
+				if conn == nil || conn.IsClosed() {
+					if conn, err = pgconn.Connect(ctx, s.URL(e, "utileria", route)); err != nil {
+						result.mu.Lock()
+						result.connectFailure = append(result.connectFailure, err)
+						result.mu.Unlock()
+						time.Sleep(20 * time.Millisecond)
+						continue
+					}
+				}
+				_, err = exec(ctx, conn, sql)
+				result.mu.Lock()
+				*count++
+				if err != nil {
+					*failed = append(*failed, err)
+				}
+				result.mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+			if conn != nil {
+				_ = conn.Close(ctx)
+			}
+		})
+	}
+	for _, e := range entries {
+		for range readers {
+			run(e, "g1-ro", "SELECT sleep_ms(5)", &result.reads, &result.readErrors)
+		}
+		run(e, "g1", "INSERT INTO visit VALUES (1)", &result.writes, &result.writeErrors)
+	}
+	return func() *served {
+		cancel()
+		done.Wait()
+		return result
+	}
+}
+
+var _ = Describe("taking out of service", Ordered, func() {
+	var s *stack.Stack
+	// Members are in the first three zones; the clients use the instance in
+	// the last one, which stays in service.
+	var outside *stack.Entry
+
+	BeforeAll(func(ctx SpecContext) {
+		s = start(ctx, stack.Options{Entries: 4})
+		outside = s.Entries[3]
+		conn := connect(ctx, s.URL(outside, "utileria", "g1"))
+		mustExec(ctx, conn, "CREATE TABLE probe (id int)")
+		mustExec(ctx, conn, "CREATE TABLE visit (id int)")
+	})
+
+	publish := func(ctx context.Context, change func(*bundle.Spec)) time.Time {
+		GinkgoHelper()
+		_, err := s.Publish(ctx, change)
+		Expect(err).NotTo(HaveOccurred())
+		return time.Now()
+	}
+	setZone := func(name string, inService bool) func(*bundle.Spec) {
+		return func(spec *bundle.Spec) {
+			i := slices.IndexFunc(spec.Zones, func(z bundle.Zone) bool { return z.Name == name })
+			spec.Zones[i].InService = inService
+		}
+	}
+	setServer := func(name string, inService bool) func(*bundle.Spec) {
+		return func(spec *bundle.Spec) {
+			i := slices.IndexFunc(spec.BackendServers, func(b bundle.BackendServer) bool { return b.Name == name })
+			spec.BackendServers[i].InService = inService
+		}
+	}
+	statements := func(ctx context.Context, member string) int {
+		GinkgoHelper()
+		n, err := s.Members[member].Statements(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		return n
+	}
+	awaitWork := func(ctx context.Context, member string) {
+		GinkgoHelper()
+		before := statements(ctx, member)
+		Eventually(func() int { return statements(ctx, member) }).WithTimeout(15*time.Second).
+			Should(BeNumerically(">", before), "work for %s", member)
+	}
+
+	// outAndBack takes a member out and back while clients run.
+	outAndBack := func(ctx context.Context, member string, out, back func(*bundle.Spec)) {
+		GinkgoHelper()
+		stop := serve(ctx, s, outside)
+		awaitWork(ctx, member)
+		published := publish(ctx, out)
+		time.Sleep(time.Until(published.Add(leaveBound)))
+		before := statements(ctx, member)
+		time.Sleep(time.Second)
+		Expect(statements(ctx, member)).To(Equal(before), "statements that reached %s after it left", member)
+		publish(ctx, back)
+		awaitWork(ctx, member)
+		result := stop()
+		Expect(result.connectFailure).To(BeEmpty())
+		Expect(result.writeErrors).To(BeEmpty())
+		Expect(result.readErrors).To(BeEmpty())
+		Expect(result.reads).To(BeNumerically(">", 0))
+		Expect(result.writes).To(BeNumerically(">", 0))
+	}
+
+	for _, c := range []struct {
+		name, label, member string
+		out, back           func(*bundle.Spec)
+	}{
+		{"an availability zone with a replica", "P8", "g1-1", setZone("heredia", false), setZone("heredia", true)},
+		{"a backend server with a replica", "P12", "g1-2", setServer("db-cartago", false), setServer("db-cartago", true)},
+		{"the backend server of the primary", "P12", "", nil, nil},
+		{"the availability zone of the primary", "P8", "", nil, nil},
+	} {
+		// Guards against members that get work after they left, or none after
+		// they came back, and against a switchover that refuses writes.
+		It(fmt.Sprintf("stops work for %s and goes on serving (%s)", c.name, c.label), func(ctx SpecContext) {
+			if c.member == "" {
+				var server string
+				Eventually(func() string { c.member = primaryOf(ctx, s, outside, "g1"); return c.member }).ShouldNot(BeEmpty())
+				m := s.Members[c.member]
+				if server = m.Server; c.label == "P12" {
+					c.out, c.back = setServer(server, false), setServer(server, true)
+				} else {
+					c.out, c.back = setZone(m.Zone, false), setZone(m.Zone, true)
+				}
+			}
+			outAndBack(ctx, c.member, c.out, c.back)
+		}, SpecTimeout(time.Minute))
+	}
+})
