--- a/pkg/backend/config.go
+++ b/pkg/backend/config.go
@@ -51,7 +51,7 @@
 	// openBackoff and maxOpenBackoff bound the time between failed attempts.
 	openBackoff    = 50 * time.Millisecond
 	maxOpenBackoff = time.Second
-	// upkeepInterval is the time between checks of the idle connections.
+	// upkeepInterval is the time between checks of the pooled connections.
 	upkeepInterval = 100 * time.Millisecond
 	// pauseThreshold is the time between two of these checks above which the
 	// process counts as having been paused.
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -16,9 +16,12 @@
 	pooled    *pooled
 	workspace string
 	read      bool
-	charged   time.Duration
-	grantedAt time.Time
-	released  atomic.Bool
+	// primaryTerm is the term in which the member was the primary when the
+	// connection was granted; 0 if it was a replica.
+	primaryTerm uint64
+	charged     time.Duration
+	grantedAt   time.Time
+	released    atomic.Bool
 }
 
 // Frontend returns the protocol side of the connection. Only the session reads
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -147,6 +147,9 @@
 	}
 	_, charged, _ := g.queue.Next(func(other admission.Item) bool { return other.ID == it.ID })
 	c := &Conn{group: g, pooled: p, workspace: it.Workspace, read: w.request.Read, charged: charged, grantedAt: time.Now()}
+	if m.Name == g.view.Primary {
+		c.primaryTerm = g.view.Term
+	}
 	m.attached[c] = struct{}{}
 	if c.read {
 		g.reads++
--- a/pkg/backend/view.go
+++ b/pkg/backend/view.go
@@ -51,6 +51,7 @@
 		m.inService, m.budget = in, max(v.Budget[name], 0)
 	}
 	g.view, g.viewSet = v, true
+	g.endReplaced(now)
 	g.moveWaiters()
 	for _, m := range g.members {
 		g.closeSurplus(m)
@@ -151,6 +152,7 @@
 		return
 	}
 	g.moveWaiters()
+	g.endReplaced(now)
 	for _, m := range g.members {
 		m.giveUpLost(awakeSince, now)
 		g.closeIdle(m, func(p *pooled) bool { return !isQuiet(p.wire.conn) })
--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -24,15 +24,16 @@
 // memberCallTimeout bounds a fence or a promotion.
 const memberCallTimeout = 300 * time.Millisecond
 
-// switchoverGrace is the time for which a primary that was taken out of service
-// still gets writes. Instances apply a bundle up to about 1 s apart, and writes
-// that waited from the first instance's start would see that as a gap.
-const switchoverGrace = 2 * time.Second
-
 // holdCallTimeout bounds one request to a peer to hold writes. It is short,
 // because writes already wait while it runs.
 const holdCallTimeout = 200 * time.Millisecond
 
+// leavingPrimaryTime is the longest time for which a primary that the bundle took
+// out of service keeps its work while the planned switchover is prepared. Instances
+// apply a bundle up to a second apart; without it, writes of the first one would
+// wait for the last one. It is part of the few seconds of P8 and P12.
+const leavingPrimaryTime = 2 * time.Second
+
 // groupSet holds the database groups of the bundle in force. The control
 // goroutine owns it; traffic goroutines read byName.
 type groupSet struct {
@@ -52,11 +53,11 @@
 	machine   *failover.Machine
 	view      failover.SetView
 	nextTick  time.Time
-	// leavingMember is the present primary if it is out of service, and
-	// leavingSince the start of that. inGrace says that it still gets writes.
-	leavingMember string
-	leavingSince  time.Time
-	inGrace       bool
+	// inService are the members that get new work.
+	inService map[string]bool
+	// leavesAt is when a primary that the bundle took out of service loses its
+	// work at the latest; zero if none is leaving.
+	leavesAt time.Time
 }
 
 func (s *groupSet) all() map[string]*groupState {
@@ -92,7 +93,7 @@
 		}
 	}
 	for _, g := range next {
-		g.noteLeaving(now)
+		g.noteLeaving(now, b)
 		g.place(ctx, now)
 		g.setView()
 	}
@@ -165,12 +166,28 @@
 			continue
 		}
 		g.nextTick = now.Add(g.machine.TickInterval())
+		if !g.leavesAt.IsZero() && !now.Before(g.leavesAt) {
+			g.leavesAt = time.Time{}
+			g.setView()
+		}
 		g.place(ctx, now)
-		g.noteLeaving(now)
 		g.step(ctx, now, failover.Tick{})
 	}
 }
 
+// noteLeaving starts the time of a primary that the new bundle takes out of service.
+func (g *groupState) noteLeaving(now time.Time, b *bundle.Compiled) {
+	for _, m := range g.spec.Members {
+		switch {
+		case m.Name != g.view.Primary:
+		case b.MemberInService(m):
+			g.leavesAt = time.Time{}
+		case g.inService[m.Name] && g.leavesAt.IsZero():
+			g.leavesAt = now.Add(leavingPrimaryTime)
+		}
+	}
+}
+
 // place tells the machine where members run and who serves the group.
 func (g *groupState) place(ctx context.Context, now time.Time) {
 	b := g.plane.rollout.core.InForce()
@@ -241,6 +258,9 @@
 		switch a := a.(type) {
 		case failover.SetView:
 			g.logView(a)
+			if a.Primary != g.view.Primary {
+				g.leavesAt = time.Time{}
+			}
 			g.view = a
 			g.setView()
 		case failover.Fence:
@@ -280,39 +300,14 @@
 	}
 	units := g.plane.leases.fleetUnits()
 	for _, m := range g.spec.Members {
-		v.InService[m.Name] = b.MemberInService(m) || g.awaitsSwitchover(m.Name)
+		leaving := m.Name == g.view.Primary && !g.leavesAt.IsZero()
+		v.InService[m.Name] = b.MemberInService(m) || leaving
 		v.Budget[m.Name] = admission.Split(m.Connections, units, lease.TotalUnits)[g.plane.cfg.Self.ID]
 	}
+	g.inService = v.InService
 	g.backend.SetView(v)
 }
 
-// noteLeaving tracks for how long the present primary has been out of service,
-// and withdraws its writes when the switchover takes too long.
-func (g *groupState) noteLeaving(now time.Time) {
-	b := g.plane.rollout.core.InForce()
-	out := false
-	for _, m := range g.spec.Members {
-		out = out || (m.Name == g.view.Primary && !b.MemberInService(m))
-	}
-	switch {
-	case !out:
-		g.leavingMember = ""
-	case g.leavingMember != g.view.Primary:
-		g.leavingMember, g.leavingSince = g.view.Primary, now
-	}
-	grace := out && now.Sub(g.leavingSince) < switchoverGrace
-	if grace != g.inGrace {
-		g.inGrace = grace
-		g.setView()
-	}
-}
-
-// awaitsSwitchover reports whether the member is the primary and still gets
-// writes although it is out of service.
-func (g *groupState) awaitsSwitchover(member string) bool {
-	return g.inGrace && member == g.leavingMember && member == g.view.Primary
-}
-
 func (g *groupState) fence(ctx context.Context, a failover.Fence) {
 	callCtx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 	defer cancel()
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -96,6 +96,7 @@
 	}
 	request := &pb.HeartbeatRequest{State: l.plane.state(now), AskPromise: true}
 	request.State.Sender.Epoch = uint64(a.Epoch)
+	v.lastBeat = now
 	go l.plane.beat(ctx, a.To, v.PeerAddress, request, a.SentAt)
 }
 
