Use one derivation of verifiers

mulberryctl derived verifiers by a library while the stand-ins used bundle.NewKey. Ran: go test -race ./pkg/operator ./pkg/admin ./core/bundle, vet, staticcheck.

--- a/pkg/operator/keys.go
+++ b/pkg/operator/keys.go
@@ -11,17 +11,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
-	"github.com/xdg-go/scram"
 
 	"github.com/mulberrysill/mulberrysill/core/bundle"
 )
 
 const (
-	// keyBytes is the entropy of a client's key. A random key of this length
-	// cannot be guessed, so the iterations need only satisfy RFC 7677.
-	keyBytes       = 24
-	saltBytes      = 16
-	scramIteration = 4096
+	// keyBytes is the entropy of a client's key, which bundle.ScramIterations relies on.
+	keyBytes  = 24
+	saltBytes = 16
 	// privateFileMode keeps private keys from other users of the machine.
 	privateFileMode = 0o600
 )
@@ -40,22 +37,6 @@
 	PublicKey string `yaml:"publicKey"`
 }
 
-// Verifier returns the SCRAM-SHA-256 verifier of a client's key.
-func Verifier(id, key string, salt []byte) (bundle.Key, error) {
-	// The user name is no part of the verifier.
-	client, err := scram.SHA256.NewClient("", key, "")
-	if err != nil {
-		return bundle.Key{}, errors.Wrap(err, "derive verifier")
-	}
-	c, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: scramIteration})
-	if err != nil {
-		return bundle.Key{}, errors.Wrap(err, "derive verifier")
-	}
-	encode := base64.StdEncoding.EncodeToString
-	return bundle.Key{ID: id, Salt: encode(salt), Iterations: scramIteration,
-		StoredKey: encode(c.StoredKey), ServerKey: encode(c.ServerKey)}, nil
-}
-
 func newKeyNew() *cobra.Command {
 	var workspace, id string
 	c := &cobra.Command{
@@ -83,7 +64,7 @@
 		return errors.Wrap(err, "read random bytes")
 	}
 	key := base64.RawURLEncoding.EncodeToString(random[:keyBytes])
-	verifier, err := Verifier(id, key, random[keyBytes:])
+	verifier, err := bundle.NewKey(id, key, random[keyBytes:])
 	if err != nil {
 		return err
 	}
