--- /dev/null
+++ b/test/integration/store_test.go
@@ -0,0 +1,164 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/bundle"
+	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
+	"github.com/mulberrysill/mulberrysill/standin/platform"
+	"github.com/mulberrysill/mulberrysill/standin/stack"
+)
+
+// maxRefusedPerMille is the share of requests that M3 lets fail during a fault.
+const maxRefusedPerMille = 1
+
+var _ = Describe("bundles and the store", Ordered, func() {
+	var s *stack.Stack
+
+	BeforeAll(func(ctx SpecContext) {
+		s = start(ctx, stack.Options{Entries: 3, Workspaces: []bundle.Workspace{
+			{Name: "utileria", Rate: 5000, Burst: 1000}, {Name: "taller", Rate: 5000, Burst: 1000},
+		}})
+		conn := connect(ctx, s.URL(s.Entries[0], "utileria", "g1"))
+		mustExec(ctx, conn, "CREATE TABLE visit (id int)")
+	})
+	AfterEach(func() { s.Platform.SetOutage(platform.NoOutage) })
+
+	// next returns the newest bundle with another weight, unsigned.
+	next := func(weight uint32) bundle.Spec {
+		spec := s.Spec()
+		spec.Parent, spec.Version = spec.Version, spec.Version+1
+		spec.Workspaces[0].Weight = weight
+		return spec
+	}
+	request := func(spec bundle.Spec) *adminpb.PublishRequest {
+		GinkgoHelper()
+		r, err := s.PublishRequest(spec)
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+	// publish publishes one more bundle and waits until it is in force.
+	publish := func(ctx context.Context, change func(*bundle.Spec)) {
+		GinkgoHelper()
+		_, err := s.Publish(ctx, change)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.AwaitInForce(ctx, s.Spec().Version)).To(Succeed())
+	}
+
+	// Guards against leases, floors or keys that depend on the store in steady
+	// state, and against a publish that hangs or half succeeds.
+	for _, outage := range []platform.Outage{platform.HangOutage, platform.ErrorOutage} {
+		It(fmt.Sprintf("serves through an outage of 20 s that answers with: %s (P14, M3)", outage), func(ctx SpecContext) {
+			stop := serve(ctx, s, s.Entries...)
+			s.Platform.SetOutage(outage)
+			ends := time.Now().Add(20 * time.Second)
+			before := s.Spec().Version
+			spec := next(2)
+			attempt := request(spec)
+			publishCtx, cancel := context.WithDeadline(ctx, ends)
+			defer cancel()
+			_, err := s.PublishThrough(publishCtx, s.Entries[0], attempt)
+			Expect(err).To(MatchError(ContainSubstring("unavailable")))
+			time.Sleep(time.Until(ends))
+			for _, e := range s.Entries {
+				status, err := s.Status(ctx, e)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(status.BundleVersion).To(Equal(before))
+				Expect(status.Current).To(BeTrue(), "%s trusts its bundle", e.ID)
+			}
+			result := stop()
+			requests := result.reads + result.writes
+			failures := slices.Concat(result.connectFailure, result.readErrors, result.writeErrors)
+			Expect(1000*len(failures)).To(BeNumerically("<=", maxRefusedPerMille*requests), "%v", failures)
+
+			s.Platform.SetOutage(platform.NoOutage)
+			publish(ctx, func(b *bundle.Spec) { b.Workspaces[0].Weight = 3 })
+		}, SpecTimeout(time.Minute))
+	}
+
+	// Guards against a publish whose change took effect but that is reported
+	// as failed or as a conflict with itself.
+	It("resolves a lost answer of the compare-and-set of a publish (P14)", func(ctx SpecContext) {
+		s.Platform.SetSlowness(300 * time.Millisecond)
+		defer s.Platform.SetSlowness(0)
+		writes := s.Platform.Stats().Writes
+		var done sync.WaitGroup
+		var err error
+		done.Go(func() { _, err = s.Publish(ctx, func(b *bundle.Spec) { b.Workspaces[0].Weight = 4 }) })
+		// The first write stores the bundle, the second one moves the head.
+		Eventually(func() int { return s.Platform.Stats().Writes }).WithTimeout(5 * time.Second).
+			WithPolling(10 * time.Millisecond).Should(BeNumerically(">", writes))
+		s.Platform.LoseAnswers(1)
+		done.Wait()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Platform.Stats().Writes).To(BeNumerically(">", writes+1))
+		Expect(s.AwaitInForce(ctx, s.Spec().Version)).To(Succeed())
+	}, SpecTimeout(time.Minute))
+
+	// Guards against an instance that starts from an older bundle: the key was
+	// revoked in the newest one.
+	It("never serves an older bundle on an instance that is killed and restarted (P14, P6)", func(ctx SpecContext) {
+		url := s.URL(s.Entries[1], "taller", "g1")
+		setKeys(ctx, s, "taller", nil)
+		version := s.Spec().Version
+		Expect(s.AwaitInForce(ctx, version)).To(Succeed())
+		for _, outage := range []platform.Outage{platform.NoOutage, platform.ErrorOutage} {
+			s.Entries[1].Kill()
+			s.Platform.SetOutage(outage)
+			Expect(s.Entries[1].Start()).To(Succeed())
+			ends := time.Now().Add(3 * time.Second)
+			for time.Now().Before(ends) {
+				if status, err := s.Status(ctx, s.Entries[1]); err == nil {
+					Expect(status.BundleVersion).To(BeElementOf(uint64(0), version))
+				}
+				conn, err := pgconn.Connect(ctx, url)
+				if err == nil {
+					_ = conn.Close(ctx)
+				}
+				Expect(err).To(HaveOccurred())
+				time.Sleep(20 * time.Millisecond)
+			}
+			s.Platform.SetOutage(platform.NoOutage)
+			Expect(s.AwaitInForce(ctx, version)).To(Succeed())
+			_, err := pgconn.Connect(ctx, url)
+			Expect(sqlState(err)).To(Equal("28P01"))
+		}
+	}, SpecTimeout(time.Minute))
+
+	// Guards against two operators who both believe that they won, and against
+	// a loser who is not told what he would have overwritten.
+	It("lets one of two operators win and tells the other the differences (P14)", func(ctx SpecContext) {
+		requests := []*adminpb.PublishRequest{request(next(5)), request(next(6))}
+		answers := make([]*adminpb.PublishResponse, len(requests))
+		errs := make([]error, len(requests))
+		var done sync.WaitGroup
+		for i, r := range requests {
+			done.Go(func() { answers[i], errs[i] = s.PublishThrough(ctx, s.Entries[i], r) })
+		}
+		done.Wait()
+		Expect(errs).To(HaveEach(BeNil()))
+		winner, loser := answers[0], answers[1]
+		if winner.Conflict {
+			winner, loser = loser, winner
+		}
+		Expect(winner.Conflict).To(BeFalse())
+		Expect(loser.Conflict).To(BeTrue())
+		Expect(loser.Winner).NotTo(BeEmpty())
+		Expect(loser.WinnerVersion).To(Equal(winner.Version))
+		Expect(loser.Differences).To(ContainElement(ContainSubstring("weight")))
+		Expect(s.AwaitInForce(ctx, winner.Version)).To(Succeed())
+		for _, e := range s.Entries {
+			status, err := s.Status(ctx, e)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status.BundleDigest).To(Equal(winner.Digest), e.ID)
+		}
+	}, SpecTimeout(time.Minute))
+})
