--- /dev/null
+++ b/test/integration/pairs_test.go
@@ -0,0 +1,67 @@
+package integration_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/standin/platform"
+	"github.com/mulberrysill/mulberrysill/standin/stack"
+)
+
+// changeBound is the time in which a change of primary must be complete.
+const changeBound = 10 * time.Second
+
+var _ = Describe("two faults at a time", func() {
+	var s *stack.Stack
+
+	BeforeEach(func(ctx SpecContext) {
+		s = start(ctx, stack.Options{Entries: 3, ApplyLag: 50 * time.Millisecond})
+		conn := connect(ctx, s.URL(s.Entries[0], "utileria", "g1"))
+		mustExec(ctx, conn, "CREATE TABLE checkout (id int primary key)")
+		mustExec(ctx, conn, "CREATE TABLE probe (id int)")
+	})
+
+	// Guards against a change of primary that needs the store.
+	for _, outage := range []platform.Outage{platform.HangOutage, platform.ErrorOutage} {
+		It("replaces a killed primary while the store answers with: "+string(outage)+" (P2, P10, P11)", func(ctx SpecContext) {
+			attempts := runWriters(ctx, s, "utileria", "g1", func() {
+				s.Platform.SetOutage(outage)
+				// Longer than the 4 s for which an instance trusts what it read.
+				time.Sleep(5 * time.Second)
+				s.Members["g1-0"].Kill()
+				deadline := time.Now().Add(changeBound)
+				for i, e := range s.Entries {
+					awaitWrites(ctx, s, e, i)
+				}
+				Expect(time.Now()).To(BeTemporally("<", deadline))
+			})
+			s.Platform.SetOutage(platform.NoOutage)
+			checkWrites(ctx, s, "utileria", "g1", attempts)
+		}, SpecTimeout(time.Minute))
+	}
+
+	// Guards against a change of primary that needs every instance, and against
+	// an instance that wakes up and acknowledges through the former primary.
+	for paused := range 3 {
+		It(fmt.Sprintf("replaces a killed primary while instance %d is paused (P2, P10, P11)", paused), func(ctx SpecContext) {
+			attempts := runWriters(ctx, s, "utileria", "g1", func() {
+				time.Sleep(300 * time.Millisecond)
+				Expect(s.Entries[paused].Pause()).To(Succeed())
+				s.Members["g1-0"].Kill()
+				deadline := time.Now().Add(changeBound)
+				for i, e := range s.Entries {
+					if i != paused {
+						awaitWrites(ctx, s, e, i)
+					}
+				}
+				Expect(time.Now()).To(BeTemporally("<", deadline))
+				Expect(s.Entries[paused].Resume()).To(Succeed())
+				awaitWrites(ctx, s, s.Entries[paused], paused)
+			})
+			checkWrites(ctx, s, "utileria", "g1", attempts)
+		}, SpecTimeout(time.Minute))
+	}
+})
