--- a/test/integration/suite_test.go
+++ b/test/integration/suite_test.go
@@ -37,7 +37,10 @@
 	GinkgoHelper()
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	opts.Binaries, opts.Directory, opts.Log = binaries, GinkgoT().TempDir(), GinkgoWriter
+	opts.Binaries, opts.Directory = binaries, GinkgoT().TempDir()
+	if opts.Log == nil {
+		opts.Log = GinkgoWriter
+	}
 	s, err := stack.Start(startCtx, opts)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.Close)
