--- a/pkg/control/instances.go
+++ b/pkg/control/instances.go
@@ -19,8 +19,10 @@
 	listed    bool
 	lastHeard time.Time
 	beating   bool
-	leaving   bool
-	bundle    bundle.Head
+	// lastBeat is when the last heartbeat was sent to the peer.
+	lastBeat time.Time
+	leaving  bool
+	bundle   bundle.Head
 	// asking says that a heartbeat outside the regular period is under way.
 	asking bool
 }
@@ -78,10 +80,11 @@
 	p.nextBeat = now.Add(heartbeatInterval)
 	state := p.state(now)
 	for id, v := range p.instances {
-		if v.beating || v.PeerAddress == "" {
+		// A request for a promise carries the same state as a heartbeat.
+		if v.beating || v.PeerAddress == "" || now.Sub(v.lastBeat) < heartbeatInterval/2 {
 			continue
 		}
-		v.beating = true
+		v.beating, v.lastBeat = true, now
 		go p.beat(ctx, id, v.PeerAddress, &pb.HeartbeatRequest{State: state}, now)
 	}
 }
