Read the lease and the clock under the mutex of a limit

Found by reading; the ceiling test with paused instances had not shown it. Also: the test deployment never gives a port out twice; a collision of two random ports ended a daemon at its start and failed one spec of 33 in the last whole run of test/integration.

--- a/pkg/control/limits.go
+++ b/pkg/control/limits.go
@@ -52,12 +52,12 @@
 	next := map[string]*bucket{}
 	for _, l := range b.Limits() {
 		if have := old[l.Name]; have != nil {
-			have.step(now, limits.SetLimit{Limit: l}, s.deadline())
+			have.step(limits.SetLimit{Limit: l}, s.deadline)
 			next[l.Name] = have
 			continue
 		}
 		created := &bucket{core: limits.NewBucket(l, s.units, now), waiting: map[uint64]chan limits.Result{}}
-		created.step(now, s.setPeers(), s.deadline())
+		created.step(s.setPeers(), s.deadline)
 		next[l.Name] = created
 	}
 	s.buckets.Store(&next)
@@ -66,7 +66,7 @@
 func (s *limitSet) setUnits(units uint32, now time.Time) {
 	s.units = units
 	for _, b := range *s.buckets.Load() {
-		b.step(now, limits.SetUnits{Units: units}, s.deadline())
+		b.step(limits.SetUnits{Units: units}, s.deadline)
 	}
 }
 
@@ -99,12 +99,12 @@
 	}
 	s.peers = peers
 	for _, b := range *s.buckets.Load() {
-		b.step(now, s.setPeers(), s.deadline())
+		b.step(s.setPeers(), s.deadline)
 	}
 }
 
 func (s *limitSet) tickBucket(ctx context.Context, now time.Time, b *bucket) {
-	for _, a := range b.step(now, limits.Tick{Deadline: s.deadline()}, s.deadline()) {
+	for _, a := range b.step(limits.Tick{Deadline: s.deadline()}, s.deadline) {
 		if borrow, ok := a.(limits.Borrow); ok {
 			s.borrow(ctx, b, borrow)
 		}
@@ -129,7 +129,7 @@
 	v := s.plane.instances[a.To]
 	failed := limits.LoanFailed{From: a.To, LoanID: a.LoanID}
 	if v == nil || v.PeerAddress == "" {
-		b.step(time.Now(), failed, s.deadline())
+		b.step(failed, s.deadline)
 		return
 	}
 	client := s.plane.cfg.Peers.Get(v.PeerAddress)
@@ -141,13 +141,13 @@
 		defer cancel()
 		answer, err := client.Borrow(callCtx, request)
 		if err != nil {
-			b.step(time.Now(), failed, s.deadline())
+			b.step(failed, s.deadline)
 			return
 		}
-		b.step(time.Now(), limits.LoanAnswer{
+		b.step(limits.LoanAnswer{
 			From: a.To, LoanID: a.LoanID, Rate: answer.Rate, Burst: answer.Burst, Tokens: answer.Tokens,
 			Length: time.Duration(answer.LengthMs) * time.Millisecond,
-		}, s.deadline())
+		}, s.deadline)
 	}()
 }
 
@@ -162,7 +162,7 @@
 		From: r.Sender.Id, FromEpoch: r.Sender.Epoch, LoanID: r.LoanId,
 		Rate: r.Rate, Burst: r.Burst, Tokens: r.Tokens, Deadline: s.deadline(),
 	}
-	for _, a := range b.step(time.Now(), event, s.deadline()) {
+	for _, a := range b.step(event, s.deadline) {
 		if grant, ok := a.(limits.Grant); ok {
 			answer.Rate, answer.Burst, answer.Tokens = grant.Rate, grant.Burst, grant.Tokens
 			answer.LengthMs = uint64(grant.Length.Milliseconds())
@@ -178,17 +178,20 @@
 }
 
 // step feeds one event and ends the waits that it settles.
-func (b *bucket) step(now time.Time, ev limits.Event, deadline time.Time) []limits.Action {
+func (b *bucket) step(ev limits.Event, deadline func() time.Time) []limits.Action {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	actions := b.core.Step(now, ev)
-	b.settle(now, deadline)
+	actions := b.core.Step(time.Now(), ev)
+	b.settle(deadline)
 	return actions
 }
 
-// settle ends waits. The caller holds b.mu.
-func (b *bucket) settle(now, deadline time.Time) {
-	for _, r := range b.core.Settle(now, deadline) {
+// settle ends waits. The caller holds b.mu. The lease and then the clock are read
+// here, so that a process that was paused on the way admits nothing by a lease
+// that has ended meanwhile.
+func (b *bucket) settle(deadline func() time.Time) {
+	until := deadline()
+	for _, r := range b.core.Settle(time.Now(), until) {
 		if ch := b.waiting[r.Ticket]; ch != nil {
 			ch <- r
 			delete(b.waiting, r.Ticket)
@@ -204,9 +207,10 @@
 		return verdict.New(verdict.NotRun, verdict.KeyNotAccepted, "the workspace of limit %q no longer exists", limit)
 	}
 	b.mu.Lock()
-	// The clock and the lease are read under the mutex, so that a process that
-	// was paused before it got here does not use a lease that has ended.
-	decision := b.core.Take(time.Now(), p.limits.deadline())
+	// The lease and then the clock are read under the mutex, so that a process
+	// that was paused before it got here does not use a lease that has ended.
+	until := p.limits.deadline()
+	decision := b.core.Take(time.Now(), until)
 	if decision.Outcome == limits.Admitted {
 		b.mu.Unlock()
 		return nil
@@ -227,15 +231,12 @@
 func (p *Plane) await(ctx context.Context, b *bucket, limit string, ticket uint64, ch chan limits.Result) error {
 	for {
 		b.mu.Lock()
-		now := time.Now()
-		b.settle(now, p.limits.deadline())
-		next, waiting := b.core.NextSettle(now)
+		b.settle(p.limits.deadline)
+		next, waiting := b.core.NextSettle(time.Now())
 		b.mu.Unlock()
 		var wake <-chan time.Time
 		if waiting {
-			timer := time.NewTimer(max(time.Until(next), time.Millisecond))
-			defer timer.Stop()
-			wake = timer.C
+			wake = time.After(max(time.Until(next), time.Millisecond))
 		}
 		select {
 		case r := <-ch:
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -18,6 +18,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/Shopify/toxiproxy/v2"
@@ -412,11 +413,19 @@
 	lastPort  = 32000
 )
 
-// freeAddresses returns loopback addresses whose ports were free just now.
+// given holds the ports that this process has given out. Without it, a port
+// could be given twice before the process that is to listen on it has started.
+var given sync.Map
+
+// freeAddresses returns loopback addresses whose ports were free just now and
+// were not given out before.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
 	for range maxPortTries {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+mathrand.IntN(lastPort-firstPort))
+		if _, taken := given.LoadOrStore(address, true); taken {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
