--- a/core/bundle/spec.go
+++ b/core/bundle/spec.go
@@ -63,7 +63,8 @@
 	Open  bool    `yaml:"open,omitempty"`
 	Rate  float64 `yaml:"rate,omitempty"`
 	Burst float64 `yaml:"burst,omitempty"`
-	// MaxAge is the age of data that reads accept; 0 means the newest.
+	// MaxAge bounds the age of data of reads, in addition to the session's floor;
+	// 0 sets no further bound.
 	MaxAge Duration `yaml:"maxAge,omitempty"`
 	// ReadWait is the time that a read waits for a fresh replica before it goes
 	// to the primary; 0 means the default.
--- a/pkg/frontend/extended.go
+++ b/pkg/frontend/extended.go
@@ -75,7 +75,7 @@
 		return s.parseAgain(existing)
 	}
 	if full {
-		return s.refuseInOrder(verdict.New(verdict.NotRun, verdict.FeatureNotSupported, "a session keeps at most %d prepared statements", maxStatements), true)
+		return s.refuseInOrder(errTooManyStatements(), true)
 	}
 	a, err := s.ensureExtended(st.class)
 	if a == nil || err != nil {
@@ -440,7 +440,7 @@
 		}
 		s.mu.Unlock()
 		if full {
-			return s.refuseInOrder(errTooManySettings(), true)
+			return s.refuseInOrder(errTooManyStatements(), true)
 		}
 	}
 	return s.ownStep(nil, st, &pgproto3.ParseComplete{})
@@ -490,3 +490,7 @@
 	s.out.append(m)
 	return s.out.err
 }
+
+func errTooManyStatements() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.FeatureNotSupported, "a session keeps at most %d prepared statements", maxStatements)
+}
--- a/pkg/frontend/interfaces.go
+++ b/pkg/frontend/interfaces.go
@@ -49,7 +49,8 @@
 	// Read says that the client declared the transaction a read.
 	Read  bool
 	Floor group.Position
-	// MaxAge is the accepted age of data; 0 means the newest.
+	// MaxAge bounds the age of the data, in addition to Floor; 0 sets no further
+	// bound.
 	MaxAge time.Duration
 	// ReadWait bounds the wait for a fresh replica; 0 means the default.
 	ReadWait time.Duration
