--- a/pkg/operator/keys.go
+++ b/pkg/operator/keys.go
@@ -33,7 +33,8 @@
 	PrivateKey string `yaml:"privateKey"`
 }
 
-// TrustedKey is the public part of a signing key, as the settings hold it.
+// TrustedKey is the public part of a signing key, as signing-key new prints it.
+// The settings hold it as one entry of the map trustedKeys.
 type TrustedKey struct {
 	ID string `yaml:"id"`
 	// PublicKey is the Ed25519 public key in standard base64.
@@ -101,7 +102,8 @@
 		Use:   "new",
 		Short: "Generate a signing key and print its public part",
 		Long: "Generate an Ed25519 signing key. The private part is written to a new file; the\n" +
-			"public part is printed in the form that the instances' settings take.\n\n" + exitCodeHelp,
+			"public part is printed; the instances' settings take it under trustedKeys, as\n" +
+			"\"id: publicKey\".\n\n" + exitCodeHelp,
 		Example: "  mulberryctl signing-key new --id ana --out ana.key",
 		Args:    exactArgs(0),
 		RunE: func(c *cobra.Command, _ []string) error {
