--- a/core/limits/experiment/pattern.go
+++ b/core/limits/experiment/pattern.go
@@ -66,6 +66,10 @@
 	{Name: "one instance killed (each in turn)", Length: time.Minute, On: onAny, Variants: instances, Fault: func(sim *Sim, s Scheme, variant int) {
 		sim.After(killAt, func() { s.Kill(fmt.Sprintf("i%d", variant+1)) })
 	}},
+	{Name: "store out, and one instance killed", Length: time.Minute, On: onAny, Variants: instances, Fault: func(sim *Sim, s Scheme, variant int) {
+		sim.After(outageAt, func() { s.Fleet().Store.Down = true })
+		sim.After(killAt, func() { s.Kill(fmt.Sprintf("i%d", variant+1)) })
+	}},
 	{Name: "store out for 5 min, demand moves", Length: outage + 40*time.Second, On: onMoving, Fault: func(sim *Sim, s Scheme, _ int) {
 		sim.After(outageAt, func() { s.Fleet().Store.Down = true })
 		sim.After(outageAt+outage, func() { s.Fleet().Store.Down = false })
