--- a/standin/member/control.go
+++ b/standin/member/control.go
@@ -12,6 +12,7 @@
 //
 //	GET  /status                     the status row as JSON
 //	GET  /statements                 Statements as a JSON number
+//	GET  /counters                   {"selects": N}, the SELECTs that clients ran
 //	POST /lag?ms=N                   SetLag
 //	POST /pause, POST /resume        PauseAnswers, ResumeAnswers
 //	POST /lose?count=N               LoseAnswers
@@ -27,6 +28,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(m.Statements())
 	})
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]int64{"selects": m.selects.Load()})
+	})
 	post := func(path string, act func()) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, _ *http.Request) {
 			act()
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -58,6 +58,8 @@
 	OpenRate float64
 	// ApplyLag is the replication lag of replicas.
 	ApplyLag time.Duration
+	// NetworkDelay is the one-way delay of every connection to a member.
+	NetworkDelay time.Duration
 	// Log receives the log lines of all processes; nil discards them.
 	Log io.Writer
 }
@@ -267,6 +269,7 @@
 		"--listen", m.listen, "--replication-listen", m.replication, "--control-listen", m.control,
 		"--connections", itoa(s.opts.Connections), "--slots", itoa(s.opts.Slots),
 		"--connect-cost-ms", itoa(s.opts.ConnectCost.Milliseconds()), "--apply-lag", s.opts.ApplyLag.String(),
+		"--network-delay", s.opts.NetworkDelay.String(),
 	}
 	for _, other := range g.Members {
 		if other.Name == m.Name {
@@ -304,18 +307,23 @@
 
 // Statements returns the number of data statements that have reached the member
 // through pooled connections.
-func (m *Member) Statements(ctx context.Context) (int, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.control+"/statements", nil)
+func (m *Member) Statements(ctx context.Context) (n int, err error) {
+	return n, m.Read(ctx, "statements", &n)
+}
+
+// Read reads a JSON document from the member's fault endpoint, for example
+// "status".
+func (m *Member) Read(ctx context.Context, path string, into any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.control+"/"+path, nil)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, errors.Wrapf(err, "control %s", m.Name)
+		return errors.Wrapf(err, "read from %s", m.Name)
 	}
 	defer answer.Body.Close()
-	var n int
-	return n, errors.Wrapf(json.NewDecoder(answer.Body).Decode(&n), "control %s", m.Name)
+	return errors.Wrapf(json.NewDecoder(answer.Body).Decode(into), "read %s from %s", path, m.Name)
 }
 
 // writeSecrets writes the secrets that all instances share.
