--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -307,8 +307,10 @@
 
 // Statements returns the number of data statements that have reached the member
 // through pooled connections.
-func (m *Member) Statements(ctx context.Context) (n int, err error) {
-	return n, m.Read(ctx, "statements", &n)
+func (m *Member) Statements(ctx context.Context) (int, error) {
+	var n int
+	err := m.Read(ctx, "statements", &n)
+	return n, err
 }
 
 // Read reads a JSON document from the member's fault endpoint, for example
@@ -421,17 +423,16 @@
 	lastPort  = 32000
 )
 
-// given holds the ports that this process has given out. Without it, a port
-// could be given twice before the process that is to listen on it has started.
-var given sync.Map
+// handedOut holds the ports that this process has given away: a process that is
+// starting does not listen on its ports yet.
+var handedOut sync.Map
 
-// freeAddresses returns loopback addresses whose ports were free just now and
-// were not given out before.
+// freeAddresses returns loopback addresses whose ports were free just now.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
 	for range maxPortTries {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+mathrand.IntN(lastPort-firstPort))
-		if _, taken := given.LoadOrStore(address, true); taken {
+		if _, taken := handedOut.LoadOrStore(address, struct{}{}); taken {
 			continue
 		}
 		l, err := net.Listen("tcp", address)
