Give out ports from one package in tests and development tools

Cause: devstack took ports from the kernel's range for outgoing connections, and one member of 15 starts could not listen; the test deployment had mended the same fault for itself.

--- a/core/consistency/choose.go
+++ b/core/consistency/choose.go
@@ -103,7 +103,7 @@
 }
 
 // Choose picks the member for a read. It prefers a fresh replica in service:
-// one with a free connection, then one in the instance's availability zone, then
+// one that is not overloaded, then one with a free connection, then one in the instance's availability zone, then
 // the least loaded, then the lowest name. If all fresh replicas are overloaded, the
 // read goes to the primary if that has a free connection: with a zone out of service,
 // one replica may not suffice for the reads of a group. Without a fresh replica the
@@ -156,6 +156,9 @@
 // before orders candidates. A free connection in another availability zone comes
 // before a queue in the own one: crossing zones costs about 1 ms, queueing more.
 func before(a, b *Member, zone string) bool {
+	if a.Overloaded != b.Overloaded {
+		return !a.Overloaded
+	}
 	if a.Saturated != b.Saturated {
 		return !a.Saturated
 	}
--- a/standin/devstack/files.go
+++ b/standin/devstack/files.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/hex"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/bundle"
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/standin/ports"
 )
 
 // operatorID names the operator's key that signs the first bundle.
@@ -47,7 +47,7 @@
 func newLayout(d Deployment, opts Options, directory string) (*layout, error) {
 	l := &layout{deployment: d, opts: opts, directory: directory, keys: map[string]string{}}
 	count := 1 + len(d.Services)*membersPerGroup*portsPerMember + d.Instances*portsPerInstance
-	addresses, err := freeAddresses(count)
+	addresses, err := ports.Free(count)
 	if err != nil {
 		return nil, err
 	}
@@ -71,21 +71,6 @@
 
 func (l *layout) path(name string) string { return filepath.Join(l.directory, name) }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		// All listeners stay open until the last is found, so no port repeats.
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 func (l *layout) placeMembers(next func() string) {
 	d := l.deployment
 	for _, service := range d.Services {
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -11,14 +11,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/Shopify/toxiproxy/v2"
@@ -29,13 +26,13 @@
 	"github.com/mulberrysill/mulberrysill/core/bundle"
 	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
 	"github.com/mulberrysill/mulberrysill/standin/platform"
+	"github.com/mulberrysill/mulberrysill/standin/ports"
 )
 
 const (
 	operator     = "operator"
 	adminToken   = "administration-token-of-a-test-stack"
 	pollInterval = 20 * time.Millisecond
-	maxPortTries = 1000
 	// stopTimeout bounds the shutdown of one process before it is killed.
 	stopTimeout = 5 * time.Second
 )
@@ -242,13 +239,13 @@
 }
 
 func (s *Stack) newMember(group string, index int, zone string) (*Member, error) {
-	ports, err := freeAddresses(3)
+	addresses, err := ports.Free(3)
 	if err != nil {
 		return nil, err
 	}
 	m := &Member{
 		Name: fmt.Sprintf("%s-%d", group, index), Zone: zone, Server: "db-" + zone, Replication: map[string]*Link{},
-		listen: ports[0], replication: ports[1], control: ports[2],
+		listen: addresses[0], replication: addresses[1], control: addresses[2],
 	}
 	m.Clients, err = newLink(s.faults, m.Name, m.listen)
 	return m, err
@@ -342,19 +339,19 @@
 }
 
 func (s *Stack) startEntry(index int) error {
-	ports, err := freeAddresses(4)
+	addresses, err := ports.Free(4)
 	if err != nil {
 		return err
 	}
 	e := &Entry{
 		ID: fmt.Sprintf("entry-%d", index), Zone: s.opts.Zones[index%len(s.opts.Zones)],
-		ClientAddress: ports[0], AdminAddress: ports[2], MetricsAddress: ports[3],
+		ClientAddress: addresses[0], AdminAddress: addresses[2], MetricsAddress: addresses[3],
 	}
 	if e.Store, err = newLink(s.faults, e.ID+"-store", s.Platform.Addr()); err != nil {
 		return err
 	}
 	settings := map[string]any{
-		"id": e.ID, "zone": e.Zone, "clientAddress": e.ClientAddress, "peerAddress": ports[1],
+		"id": e.ID, "zone": e.Zone, "clientAddress": e.ClientAddress, "peerAddress": addresses[1],
 		"adminAddress": e.AdminAddress, "metricsAddress": e.MetricsAddress, "platformURL": "http://" + e.Store.Addr(),
 		"trustedKeys":         map[string]string{operator: base64.StdEncoding.EncodeToString(s.public)},
 		"sessionTokenKeyFile": filepath.Join(s.opts.Directory, "token.key"),
@@ -415,38 +412,6 @@
 	}
 }
 
-// Ports below the range from which the kernel takes the ports of outgoing
-// connections. A port from that range may be taken between the check here and
-// the start of the process that is to listen on it.
-const (
-	firstPort = 10000
-	lastPort  = 32000
-)
-
-// handedOut holds the ports that this process has given away: a process that is
-// starting does not listen on its ports yet.
-var handedOut sync.Map
-
-// freeAddresses returns loopback addresses whose ports were free just now.
-func freeAddresses(n int) ([]string, error) {
-	var list []string
-	for range maxPortTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+mathrand.IntN(lastPort-firstPort))
-		if _, taken := handedOut.LoadOrStore(address, struct{}{}); taken {
-			continue
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		defer l.Close()
-		if list = append(list, address); len(list) == n {
-			return list, nil
-		}
-	}
-	return nil, errors.Newf("no %d free ports between %d and %d", n, firstPort, lastPort)
-}
-
 func withToken(ctx context.Context) (context.Context, error) {
 	return twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": []string{"Bearer " + adminToken}})
 }
