--- a/cmd/mulberrysill/main.go
+++ b/cmd/mulberrysill/main.go
@@ -26,7 +26,8 @@
 }
 
 func run() int {
-	code := 0
+	// An error that comes before the settings are read is one of usage.
+	code := exitUsage
 	var path string
 	cmd := &cobra.Command{
 		Use:   "mulberrysill",
@@ -47,6 +48,7 @@
 			return err
 		}
 		if *check {
+			code = 0
 			return nil
 		}
 		code = exitFailure
@@ -58,9 +60,9 @@
 	}
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "mulberrysill:", err)
-		return max(code, exitFailure)
+		return code
 	}
-	return code
+	return 0
 }
 
 func serve(settings config.Settings, secrets config.Secrets) error {
--- a/pkg/backend/group.go
+++ b/pkg/backend/group.go
@@ -113,6 +113,10 @@
 	Waiting int
 	// Limit is the number of connections that may be open now.
 	Limit int
+	// Status is the member's last status and AnsweredAt the time of its arrival;
+	// both are zero before the first one.
+	Status     group.Status
+	AnsweredAt time.Time
 }
 
 // Stats returns a snapshot of the pools by member, and the number of requests
@@ -124,6 +128,7 @@
 	for name, m := range g.members {
 		members[name] = MemberStats{
 			Open: m.open, Opening: m.opening, Attached: len(m.attached), Waiting: m.waiting, Limit: m.limit(time.Now()),
+			Status: m.status, AnsweredAt: m.answeredAt,
 		}
 	}
 	return members, g.held
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -55,8 +55,12 @@
 	// TLSCertFile and TLSKeyFile enable TLS towards clients.
 	TLSCertFile string `yaml:"tlsCertFile"`
 	TLSKeyFile  string `yaml:"tlsKeyFile"`
-	// BackendUser is the user name towards backend servers.
-	BackendUser string `yaml:"backendUser"`
+	// RequireTLS refuses clients that do not use TLS.
+	RequireTLS bool `yaml:"requireTLS"`
+	// BackendUser is the user name towards backend servers, and
+	// BackendPasswordFile holds the password, if they ask for one.
+	BackendUser         string `yaml:"backendUser"`
+	BackendPasswordFile string `yaml:"backendPasswordFile"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout Duration `yaml:"drainTimeout"`
 	// LogLevel is a logrus level.
@@ -81,6 +85,7 @@
 	SessionTokenKey []byte
 	PeerSecret      []byte
 	AdminToken      string
+	BackendPassword string
 	TrustedKeys     map[string]ed25519.PublicKey
 }
 
@@ -148,6 +153,7 @@
 	check(s.SessionTokenKeyFile != "", "sessionTokenKeyFile", "must not be empty")
 	check(s.PeerSecretFile != "", "peerSecretFile", "must not be empty")
 	check(s.AdminTokenFile != "", "adminTokenFile", "must not be empty")
+	check(!s.RequireTLS || s.TLSCertFile != "", "requireTLS", "needs tlsCertFile and tlsKeyFile")
 	check((s.TLSCertFile == "") == (s.TLSKeyFile == ""), "tlsCertFile", "tlsCertFile and tlsKeyFile go together")
 	return list
 }
@@ -176,6 +182,13 @@
 		return secrets, err
 	}
 	secrets.AdminToken = string(token)
+	if s.BackendPasswordFile != "" {
+		password, err := os.ReadFile(s.BackendPasswordFile)
+		if err != nil {
+			return secrets, errors.Wrap(err, "backendPasswordFile")
+		}
+		secrets.BackendPassword = string(bytes.TrimSpace(password))
+	}
 	for id, text := range s.TrustedKeys {
 		key, err := base64.StdEncoding.DecodeString(text)
 		if err != nil || len(key) != ed25519.PublicKeySize {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -40,8 +40,9 @@
 	Peers   *peer.Clients
 	Trusted map[string]ed25519.PublicKey
 	Log     *logrus.Entry
-	// BackendUser is the user name towards backend servers.
-	BackendUser string
+	// BackendUser and BackendPassword are the credentials towards backend
+	// servers; the password is empty if they ask for none.
+	BackendUser, BackendPassword string
 	// Seed seeds random back-off.
 	Seed uint64
 	// OnBundle is called by the control goroutine after a bundle came into
--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -103,7 +103,7 @@
 	p := s.plane
 	g := &groupState{plane: p, name: spec.Name, spec: spec, databases: databases}
 	cfg := backend.Config{
-		Group: spec.Name, Zone: p.cfg.Self.Zone, User: p.cfg.BackendUser, Databases: databases,
+		Group: spec.Name, Zone: p.cfg.Self.Zone, User: p.cfg.BackendUser, Password: p.cfg.BackendPassword, Databases: databases,
 		Events: g, Log: p.cfg.Log,
 	}
 	for _, m := range spec.Members {
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/core/lease"
@@ -9,6 +11,10 @@
 	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
 )
 
+// memberReachable is the age of a member's last status up to which it counts as
+// reachable; it covers four probes.
+const memberReachable = 400 * time.Millisecond
+
 // leavePoll is the period at which Leave looks for the end of the departure.
 const leavePoll = 20 * time.Millisecond
 
@@ -60,12 +66,26 @@
 			s.StoreAgeMs = uint64(now.Sub(p.rollout.lastStore).Milliseconds())
 		}
 		for name, g := range p.groups.all() {
-			s.Groups = append(s.Groups, &adminpb.GroupStatus{Group: name, Primary: g.view.Primary, Term: g.view.Term})
+			s.Groups = append(s.Groups, g.status(name, now))
 		}
 	})
 	return s, err
 }
 
+// status returns the group as this instance knows it, members by name.
+func (g *groupState) status(name string, now time.Time) *adminpb.GroupStatus {
+	members, held := g.backend.Stats()
+	s := &adminpb.GroupStatus{Group: name, Primary: g.view.Primary, Term: g.view.Term, HeldWrites: uint64(held)}
+	for _, member := range slices.Sorted(maps.Keys(members)) {
+		m := members[member]
+		s.Members = append(s.Members, &adminpb.MemberStatus{
+			Member: member, Role: string(m.Status.Role), Applied: m.Status.Applied, Received: m.Status.Received,
+			Reachable: now.Sub(m.AnsweredAt) < memberReachable, Connections: uint32(m.Open),
+		})
+	}
+	return s
+}
+
 // FleetStatus returns what this instance knows of the rollout on all instances.
 // A bundle is accepted when a majority of the live instances has it in force.
 func (p *Plane) FleetStatus(ctx context.Context) (*adminpb.FleetStatusResponse, error) {
