--- a/core/failover/sim_test.go
+++ b/core/failover/sim_test.go
@@ -251,7 +251,9 @@
 	}
 }
 
-// wake ends an instance's pause; what has waited is delivered at once.
+// wake ends an instance's pause; what has waited is delivered at once. The
+// queue of a paused instance is bounded, so the placement is delivered anew: a
+// bundle is not lost, unlike messages.
 func (s *sim) wake(in *instance) {
 	in.stopped = false
 	waiting := in.paused
@@ -259,6 +261,7 @@
 	for _, f := range waiting {
 		s.local(in, f)
 	}
+	s.local(in, func() { s.step(in, s.placement()) })
 }
 
 // setOutOfService changes a member's placement on every instance.
@@ -513,15 +516,23 @@
 	return ""
 }
 
-// inPlace reports whether every instance serves writes on a primary that a
+// inPlace reports whether every live instance serves writes on a primary that a
 // majority of members follows.
 func (s *sim) inPlace() bool {
+	var view *failover.SetView
 	for _, in := range s.insts {
-		if in.view.Hold || in.view != s.insts[0].view {
+		switch {
+		case in.dead:
+		case in.view.Hold, view != nil && in.view != *view:
 			return false
+		default:
+			view = &in.view
 		}
 	}
-	p, followers := s.members[s.insts[0].view.Primary], 0
+	if view == nil {
+		return false
+	}
+	p, followers := s.members[view.Primary], 0
 	for _, m := range s.members {
 		if p != nil && p.primary && m.current == p.current && m.promised == p.current {
 			followers++
--- a/pkg/backend/group_test.go
+++ b/pkg/backend/group_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -75,6 +76,18 @@
 		}
 	})
 
+	It("gives up transactions on a member that does not answer: a checkout that hangs", func() {
+		b := newBench(noCost, nil)
+		b.replicated(b.run("CREATE TABLE stock (n INTEGER)"))
+		c := b.acquire(write("loja"))
+		b.members[0].PauseAnswers()
+		defer b.members[0].ResumeAnswers()
+		_, _, err := query(c, "INSERT INTO stock VALUES (1)")
+		Expect(err).To(HaveOccurred())
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the client's own deadline ended the wait")
+		c.Release(true)
+	})
+
 	It("does not hand out connections of an earlier incarnation: a read of discarded entries", func() {
 		b := newBench(noCost, nil)
 		p := b.run("CREATE TABLE stock (n INTEGER)")
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -33,13 +33,12 @@
 	open, opening int
 	// openTo, openingTo and waitingFor count by database.
 	openTo, openingTo, waitingFor map[string]int
-	attached, waiting             int
-	// held are the attached connections.
-	held     map[*Conn]struct{}
-	rate     *admission.OpenRate
-	failures int
-	retryAt  time.Time
-	timer    *time.Timer
+	waiting                       int
+	attached                      map[*Conn]struct{}
+	rate                          *admission.OpenRate
+	failures                      int
+	retryAt                       time.Time
+	timer                         *time.Timer
 }
 
 // pooled is a connection of the pool. Whoever holds it uses it alone: the pool
@@ -57,8 +56,9 @@
 func newMember(cfg *Config, m Member) *member {
 	return &member{
 		Member: m, controls: &controls{cfg: cfg, member: m}, kick: make(chan struct{}, 1),
-		held: map[*Conn]struct{}{}, openTo: map[string]int{}, openingTo: map[string]int{}, waitingFor: map[string]int{},
-		rate: admission.NewOpenRate(opensPerSecond, openBurst),
+		openTo: map[string]int{}, openingTo: map[string]int{}, waitingFor: map[string]int{},
+		attached: map[*Conn]struct{}{},
+		rate:     admission.NewOpenRate(opensPerSecond, openBurst),
 	}
 }
 
@@ -150,8 +150,7 @@
 	if m.Name == g.view.Primary {
 		c.primaryTerm = g.view.Term
 	}
-	m.attached++
-	m.held[c] = struct{}{}
+	m.attached[c] = struct{}{}
 	if c.read {
 		g.reads++
 	} else {
@@ -219,6 +218,20 @@
 	p.wire.terminate()
 }
 
+// giveUpLost closes the connections of running transactions on a member that has
+// not answered for lostAfter since the time given. Their sessions see a lost
+// connection. The caller holds g.mu.
+func (m *member) giveUpLost(since, now time.Time) {
+	if now.Sub(since) < lostAfter || now.Sub(m.answeredAt) < lostAfter {
+		return
+	}
+	for c := range m.attached {
+		if now.Sub(c.grantedAt) >= lostAfter {
+			c.pooled.wire.conn.Close()
+		}
+	}
+}
+
 // closeSurplus closes idle connections beyond the budget, those that were idle
 // longest first, and all of a member out of service. The caller holds g.mu.
 func (g *Group) closeSurplus(m *member) {
--- a/pkg/backend/replaced.go
+++ b/pkg/backend/replaced.go
@@ -16,7 +16,7 @@
 		if m.Name == g.view.Primary || now.Sub(m.answeredAt) < statusLifetime {
 			continue
 		}
-		for c := range m.held {
+		for c := range m.attached {
 			if c.primaryTerm != 0 && c.primaryTerm < g.view.Term {
 				_ = c.pooled.wire.conn.Close() // the session sees the failure
 			}
--- a/pkg/control/groups.go
+++ b/pkg/control/groups.go
@@ -103,7 +103,7 @@
 	p := s.plane
 	g := &groupState{plane: p, name: spec.Name, spec: spec, databases: databases}
 	cfg := backend.Config{
-		Group: spec.Name, Zone: p.cfg.Self.Zone, User: p.cfg.BackendUser, Databases: databases,
+		Group: spec.Name, Zone: p.cfg.Self.Zone, User: p.cfg.BackendUser, Password: p.cfg.BackendPassword, Databases: databases,
 		Events: g, Log: p.cfg.Log,
 	}
 	for _, m := range spec.Members {
@@ -190,7 +190,7 @@
 
 // place tells the machine where members run and who serves the group.
 func (g *groupState) place(ctx context.Context, now time.Time) {
-	b := g.plane.rollout.inForce
+	b := g.plane.rollout.core.InForce()
 	placement := failover.Placement{Serving: g.plane.ranked(now, g.name)}
 	for _, m := range g.spec.Members {
 		placement.Members = append(placement.Members, failover.MemberPlacement{
@@ -290,7 +290,7 @@
 
 // setView passes the present view to the traffic side.
 func (g *groupState) setView() {
-	b := g.plane.rollout.inForce
+	b := g.plane.rollout.core.InForce()
 	if b == nil {
 		return
 	}
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/core/lease"
@@ -9,6 +11,10 @@
 	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
 )
 
+// memberReachable is the age of a member's last status up to which it counts as
+// reachable; it covers four probes.
+const memberReachable = 400 * time.Millisecond
+
 // leavePoll is the period at which Leave looks for the end of the departure.
 const leavePoll = 20 * time.Millisecond
 
@@ -52,30 +58,44 @@
 		if left := held.Deadline.Sub(now); left > 0 {
 			s.LeaseRemainingMs = uint64(left.Milliseconds())
 		}
-		if b := p.rollout.inForce; b != nil {
+		if b := p.rollout.core.InForce(); b != nil {
 			s.BundleVersion, s.BundleDigest = b.Spec.Version, b.Digest
 		}
-		s.Current, s.Leaving = now.Before(p.rollout.currentUntil), p.draining.Load()
+		s.Current, s.Leaving = p.rollout.core.Current(now), p.draining.Load()
 		if !p.rollout.lastStore.IsZero() {
 			s.StoreAgeMs = uint64(now.Sub(p.rollout.lastStore).Milliseconds())
 		}
 		for name, g := range p.groups.all() {
-			s.Groups = append(s.Groups, &adminpb.GroupStatus{Group: name, Primary: g.view.Primary, Term: g.view.Term})
+			s.Groups = append(s.Groups, g.status(name, now))
 		}
 	})
 	return s, err
 }
 
+// status returns the group as this instance knows it, members by name.
+func (g *groupState) status(name string, now time.Time) *adminpb.GroupStatus {
+	members, held := g.backend.Stats()
+	s := &adminpb.GroupStatus{Group: name, Primary: g.view.Primary, Term: g.view.Term, HeldWrites: uint64(held)}
+	for _, member := range slices.Sorted(maps.Keys(members)) {
+		m := members[member]
+		s.Members = append(s.Members, &adminpb.MemberStatus{
+			Member: member, Role: string(m.Status.Role), Applied: m.Status.Applied, Received: m.Status.Received,
+			Reachable: now.Sub(m.AnsweredAt) < memberReachable, Connections: uint32(m.Open),
+		})
+	}
+	return s
+}
+
 // FleetStatus returns what this instance knows of the rollout on all instances.
 // A bundle is accepted when a majority of the live instances has it in force.
 func (p *Plane) FleetStatus(ctx context.Context) (*adminpb.FleetStatusResponse, error) {
 	s := &adminpb.FleetStatusResponse{}
 	err := p.ask(ctx, func(now time.Time) {
-		r := &p.rollout
-		s.HeadVersion, s.HeadDigest = r.newest.Version, r.newest.Digest
+		newest := p.rollout.core.Newest()
+		s.HeadVersion, s.HeadDigest = newest.Version, newest.Digest
 		self := &adminpb.InstanceTakeUp{Id: p.cfg.Self.ID, Zone: p.cfg.Self.Zone, Leaving: p.draining.Load()}
-		if r.inForce != nil {
-			self.BundleVersion, self.BundleDigest = r.inForce.Spec.Version, r.inForce.Digest
+		if b := p.rollout.core.InForce(); b != nil {
+			self.BundleVersion, self.BundleDigest = b.Spec.Version, b.Digest
 		}
 		s.Instances = append(s.Instances, self)
 		for id, v := range p.instances {
--- a/standin/stack/publish.go
+++ b/standin/stack/publish.go
@@ -73,6 +73,15 @@
 	return &adminpb.PublishRequest{Signed: signed, PublishId: rand.Text()}, err
 }
 
+// PublishThrough sends a request to one instance. Spec does not learn of it.
+func (s *Stack) PublishThrough(ctx context.Context, e *Entry, request *adminpb.PublishRequest) (*adminpb.PublishResponse, error) {
+	ctx, err := withToken(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return e.Admin.Publish(ctx, request)
+}
+
 // Status returns the state of an instance.
 func (s *Stack) Status(ctx context.Context, e *Entry) (*adminpb.InstanceStatus, error) {
 	ctx, err := withToken(ctx)
@@ -115,14 +124,23 @@
 }
 
 func (s *Stack) awaitAdmin(ctx context.Context) error {
-	return s.await(ctx, "instances answering", func() bool {
+	var ended error
+	err := s.await(ctx, "instances answering", func() bool {
 		for _, e := range s.Entries {
+			if isDone(e.Done()) {
+				ended = errors.Newf("%s ended with code %d", e.ID, e.ExitCode())
+				return true
+			}
 			if _, err := s.Status(ctx, e); err != nil {
 				return false
 			}
 		}
 		return true
 	})
+	if err == nil {
+		err = ended
+	}
+	return err
 }
 
 func (s *Stack) await(ctx context.Context, what string, condition func() bool) error {
--- a/standin/stack/stack.go
+++ b/standin/stack/stack.go
@@ -11,8 +11,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,13 +26,13 @@
 	"github.com/mulberrysill/mulberrysill/core/bundle"
 	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
 	"github.com/mulberrysill/mulberrysill/standin/platform"
+	"github.com/mulberrysill/mulberrysill/standin/ports"
 )
 
 const (
 	operator     = "operator"
 	adminToken   = "administration-token-of-a-test-stack"
 	pollInterval = 20 * time.Millisecond
-	maxPortTries = 1000
 	// stopTimeout bounds the shutdown of one process before it is killed.
 	stopTimeout = 5 * time.Second
 )
@@ -53,6 +51,8 @@
 	// Connections and Slots are per member; ConnectCost is the time of a new connection.
 	Connections, Slots int
 	ConnectCost        time.Duration
+	// OpenRate is the rate of the open routes in requests/s; the burst is a fifth.
+	OpenRate float64
 	// ApplyLag is the replication lag of replicas.
 	ApplyLag time.Duration
 	// NetworkDelay is the one-way delay of every connection to a member.
@@ -83,6 +83,9 @@
 	if o.ConnectCost == 0 {
 		o.ConnectCost = 12 * time.Millisecond
 	}
+	if o.OpenRate == 0 {
+		o.OpenRate = 1000
+	}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -207,7 +210,7 @@
 		s.spec.Routes = append(s.spec.Routes,
 			bundle.Route{Name: name, Group: name, Database: "app", Access: bundle.ReadWrite, Workspaces: names},
 			bundle.Route{Name: name + "-ro", Group: name, Database: "app", Access: bundle.ReadOnly, Workspaces: names},
-			bundle.Route{Name: name + "-open", Group: name, Database: "app", Access: bundle.ReadOnly, Open: true, Rate: 1000, Burst: 200})
+			bundle.Route{Name: name + "-open", Group: name, Database: "app", Access: bundle.ReadOnly, Open: true, Rate: s.opts.OpenRate, Burst: s.opts.OpenRate / 5})
 	}
 	return nil
 }
@@ -236,13 +239,13 @@
 }
 
 func (s *Stack) newMember(group string, index int, zone string) (*Member, error) {
-	ports, err := freeAddresses(3)
+	addresses, err := ports.Free(3)
 	if err != nil {
 		return nil, err
 	}
 	m := &Member{
 		Name: fmt.Sprintf("%s-%d", group, index), Zone: zone, Server: "db-" + zone, Replication: map[string]*Link{},
-		listen: ports[0], replication: ports[1], control: ports[2],
+		listen: addresses[0], replication: addresses[1], control: addresses[2],
 	}
 	m.Clients, err = newLink(s.faults, m.Name, m.listen)
 	return m, err
@@ -299,6 +302,14 @@
 	return nil
 }
 
+// Statements returns the number of data statements that have reached the member
+// through pooled connections.
+func (m *Member) Statements(ctx context.Context) (int, error) {
+	var n int
+	err := m.Read(ctx, "statements", &n)
+	return n, err
+}
+
 // Read reads a JSON document from the member's fault endpoint, for example
 // "status".
 func (m *Member) Read(ctx context.Context, path string, into any) error {
@@ -328,19 +339,19 @@
 }
 
 func (s *Stack) startEntry(index int) error {
-	ports, err := freeAddresses(4)
+	addresses, err := ports.Free(4)
 	if err != nil {
 		return err
 	}
 	e := &Entry{
 		ID: fmt.Sprintf("entry-%d", index), Zone: s.opts.Zones[index%len(s.opts.Zones)],
-		ClientAddress: ports[0], AdminAddress: ports[2], MetricsAddress: ports[3],
+		ClientAddress: addresses[0], AdminAddress: addresses[2], MetricsAddress: addresses[3],
 	}
 	if e.Store, err = newLink(s.faults, e.ID+"-store", s.Platform.Addr()); err != nil {
 		return err
 	}
 	settings := map[string]any{
-		"id": e.ID, "zone": e.Zone, "clientAddress": e.ClientAddress, "peerAddress": ports[1],
+		"id": e.ID, "zone": e.Zone, "clientAddress": e.ClientAddress, "peerAddress": addresses[1],
 		"adminAddress": e.AdminAddress, "metricsAddress": e.MetricsAddress, "platformURL": "http://" + e.Store.Addr(),
 		"trustedKeys":         map[string]string{operator: base64.StdEncoding.EncodeToString(s.public)},
 		"sessionTokenKeyFile": filepath.Join(s.opts.Directory, "token.key"),
@@ -401,31 +412,6 @@
 	}
 }
 
-// Ports below the range from which the kernel takes the ports of outgoing
-// connections. A port from that range may be taken between the check here and
-// the start of the process that is to listen on it.
-const (
-	firstPort = 10000
-	lastPort  = 32000
-)
-
-// freeAddresses returns loopback addresses whose ports were free just now.
-func freeAddresses(n int) ([]string, error) {
-	var list []string
-	for range maxPortTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+mathrand.IntN(lastPort-firstPort))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		defer l.Close()
-		if list = append(list, address); len(list) == n {
-			return list, nil
-		}
-	}
-	return nil, errors.Newf("no %d free ports between %d and %d", n, firstPort, lastPort)
-}
-
 func withToken(ctx context.Context) (context.Context, error) {
 	return twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": []string{"Bearer " + adminToken}})
 }
