Report a process that could not be started instead of panicking

Cause: Start returned a process without a command together with the error, and closing the deployment then signalled it. Seen when devload was run by go run, without the other binaries beside it.

--- a/standin/stack/process.go
+++ b/standin/stack/process.go
@@ -25,7 +25,10 @@
 
 func startProcess(log io.Writer, path string, args ...string) (*Process, error) {
 	p := &Process{path: path, args: args, log: log}
-	return p, p.Start()
+	if err := p.Start(); err != nil {
+		return nil, err
+	}
+	return p, nil
 }
 
 // Start starts the process, or starts it again after it ended.
