--- a/pkg/control/instances.go
+++ b/pkg/control/instances.go
@@ -61,6 +61,8 @@
 			v = &instanceView{}
 			p.instances[i.ID] = v
 		}
+		// The list lags, so its epoch may be an earlier one than was heard.
+		i.Epoch = max(i.Epoch, v.Epoch)
 		v.Instance, v.listed = i, true
 	}
 	// The list lags, so a peer that is not listed is kept while it is heard.
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -28,8 +27,8 @@
 	"github.com/mulberrysill/mulberrysill/pkg/entry"
 	"github.com/mulberrysill/mulberrysill/pkg/logging"
 	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
-	pb "github.com/mulberrysill/mulberrysill/rpc/platform"
 	"github.com/mulberrysill/mulberrysill/standin/member"
+	"github.com/mulberrysill/mulberrysill/standin/platform"
 )
 
 func TestEntry(t *testing.T) {
@@ -37,87 +36,6 @@
 	RunSpecs(t, "entry")
 }
 
-// memoryPlatform is the platform without faults or limits.
-type memoryPlatform struct {
-	pb.Platform
-	mu        sync.Mutex
-	rows      map[string]*pb.Row
-	objects   map[string][]byte
-	instances map[string]*pb.Instance
-}
-
-func (m *memoryPlatform) GetRow(_ context.Context, r *pb.GetRowRequest) (*pb.Row, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if row := m.rows[r.Key]; row != nil {
-		return row, nil
-	}
-	return &pb.Row{Key: r.Key}, nil
-}
-
-func (m *memoryPlatform) ListRows(_ context.Context, r *pb.ListRowsRequest) (*pb.ListRowsResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	answer := &pb.ListRowsResponse{}
-	for k, row := range m.rows {
-		if strings.HasPrefix(k, r.Prefix) {
-			answer.Rows = append(answer.Rows, row)
-		}
-	}
-	return answer, nil
-}
-
-func (m *memoryPlatform) Transact(_ context.Context, r *pb.TransactRequest) (*pb.TransactResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, w := range r.Writes {
-		if m.rows[w.Key].GetVersion() != w.ExpectedVersion {
-			return nil, twirp.NewError(twirp.FailedPrecondition, "version")
-		}
-	}
-	answer := &pb.TransactResponse{}
-	for _, w := range r.Writes {
-		if w.Remove {
-			delete(m.rows, w.Key)
-			continue
-		}
-		m.rows[w.Key] = &pb.Row{Key: w.Key, Value: w.Value, Version: w.ExpectedVersion + 1}
-		answer.Rows = append(answer.Rows, m.rows[w.Key])
-	}
-	return answer, nil
-}
-
-func (m *memoryPlatform) PutObject(_ context.Context, r *pb.PutObjectRequest) (*pb.PutObjectResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	digest := bundle.Digest(r.Data)
-	m.objects[digest] = r.Data
-	return &pb.PutObjectResponse{Digest: digest}, nil
-}
-
-func (m *memoryPlatform) GetObject(_ context.Context, r *pb.GetObjectRequest) (*pb.GetObjectResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return &pb.GetObjectResponse{Data: m.objects[r.Digest]}, nil
-}
-
-func (m *memoryPlatform) ListInstances(context.Context, *pb.ListInstancesRequest) (*pb.ListInstancesResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	answer := &pb.ListInstancesResponse{}
-	for _, i := range m.instances {
-		answer.Instances = append(answer.Instances, i)
-	}
-	return answer, nil
-}
-
-func (m *memoryPlatform) RegisterInstance(_ context.Context, i *pb.Instance) (*pb.RegisterInstanceResponse, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.instances[i.Id] = i
-	return &pb.RegisterInstanceResponse{}, nil
-}
-
 func must[T any](v T, err error) T {
 	GinkgoHelper()
 	Expect(err).NotTo(HaveOccurred())
@@ -125,11 +43,11 @@
 }
 
 var _ = Describe("the whole path", func() {
+	// Guards against parts that work alone and do not fit together.
 	It("serves a write and reads it back on another instance", func(ctx SpecContext) {
 		dir := GinkgoT().TempDir()
-		store := &memoryPlatform{rows: map[string]*pb.Row{}, objects: map[string][]byte{}, instances: map[string]*pb.Instance{}}
-		web := httptest.NewServer(pb.NewPlatformServer(store))
-		DeferCleanup(web.Close)
+		store := must(platform.Start(platform.Options{}))
+		DeferCleanup(store.Close)
 
 		spec := bundle.Spec{Version: 1}
 		key := "a-key-of-the-workspace-utileria"
@@ -180,7 +98,7 @@
 sessionTokenKeyFile: %s
 peerSecretFile: %s
 adminTokenFile: %s
-`, i, web.URL, base64.StdEncoding.EncodeToString(public), secret, secret, secret))))
+`, i, store.URL(), base64.StdEncoding.EncodeToString(public), secret, secret, secret))))
 			log := must(logging.New(GinkgoWriter, "debug", settings.ID, settings.Zone))
 			e := must(entry.New(settings, config.Secrets{
 				SessionTokenKey: []byte(strings.Repeat("s", 40)), PeerSecret: []byte(strings.Repeat("p", 40)),
