Apply the changes of a table in the order of the store

Cause: applyMemberChanges went over a batch twice, all additions first and all removals after them. A member whose removal and return came in one response of the feed, as after an outage in which all entries expired, ended as removed and was dropped 3 s later for good. Calls to the controller could also overtake each other: one that found the queue full was passed on by a goroutine of its own.

Change: membership.Listing applies changes in their order; the controller keeps its calls in one ordered queue. A group without a usable member for 3 s is reported once with what is believed of its members (group-unusable, metric unusable_groups), and the members are listed again at most every 5 s. The soak's store outages of more than 3 s expire the members' entries and return them in the same response.

--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -145,6 +145,20 @@
 	})
 })
 
+var _ = Describe("an outage of the store", func() {
+	It("leaves members in use whose entries expire and return in one response of the feed", func() {
+		d := newDeployment(1, 10000)
+		d.store.SetDown(true)
+		for _, m := range d.group.Members() {
+			d.store.RemoveMember(m.ID)
+		}
+		d.listMembers()
+		d.store.SetDown(false)
+		// The members were dropped 3 s after the response.
+		Consistently(func() string { return d.instances[0].queryOnce("orders", "k1", "READ x") }, 5*time.Second, 10*pollInterval).Should(HavePrefix("ROW"))
+	})
+})
+
 var _ = Describe("an instance that shuts down", func() {
 	It("closes idle sessions, answers what it has read, and ends within the grace period", func() {
 		d := newDeployment(1, 1000)
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +33,9 @@
 	// promotion is started. A promotion already in progress takes up to about
 	// a second.
 	noPrimaryTimeout = 2 * time.Second
+	// relistInterval is the minimum time between two listings of the members
+	// because a group has no usable one.
+	relistInterval = 5 * time.Second
 	// reportInterval is the minimum time between two reports on the same
 	// primary.
 	reportInterval = 250 * time.Millisecond
@@ -56,22 +61,23 @@
 )
 
 // controller maintains the instance's view of the fleet and the groups. All fields
-// belong to the goroutine of run, which executes the functions passed to
-// enqueue.
+// but calls belong to the goroutine of run, which executes the functions passed
+// to enqueue.
 type controller struct {
-	gw    *Gateway
-	calls chan func()
+	gw      *Gateway
+	callsMu sync.Mutex
+	calls   []func()      // guarded by callsMu
+	wake    chan struct{} // signals that calls holds a call
 	// members is the platform's list of members, by ID.
-	members map[string]Member
-	// unlistedSince is when the platform stopped listing a member, by ID.
-	unlistedSince map[string]time.Time
-	groups        map[string]*groupState
+	members *membership.Listing[Member]
+	groups  map[string]*groupState
 	// holderLostAt is when the promotion lease was first seen without a live
 	// holder.
 	holderLostAt time.Time
 	// storeStaleAt is when the store was last known not to respond.
 	storeStaleAt time.Time
 	lastClaimAt  time.Time
+	relistedAt   time.Time
 	claiming     bool
 	startedAt    time.Time
 }
@@ -86,22 +92,40 @@
 	// noPrimarySince is when the responding members were first found to
 	// include no primary.
 	noPrimarySince time.Time
+	// unusableSince is since when the group has had no usable member, and
+	// unusableReported is set once that has been reported.
+	unusableSince    time.Time
+	unusableReported bool
 }
 
 func newController(g *Gateway) *controller {
 	return &controller{
-		gw: g, calls: make(chan func(), 256), members: map[string]Member{}, unlistedSince: map[string]time.Time{},
+		gw: g, wake: make(chan struct{}, 1), members: membership.NewListing[Member](),
 		groups: map[string]*groupState{}, startedAt: time.Now(),
 	}
 }
 
-// enqueue passes a call to the controller's goroutine. It never blocks, since
-// the caller may hold the mutex of a pool.
+// enqueue passes a call to the controller's goroutine, which executes the calls in the
+// order in which they were passed. It never blocks, since the caller may hold the mutex
+// of a pool.
 func (c *controller) enqueue(call func()) {
+	c.callsMu.Lock()
+	c.calls = append(c.calls, call)
+	c.callsMu.Unlock()
 	select {
-	case c.calls <- call:
-	default:
-		go func() { c.calls <- call }()
+	case c.wake <- struct{}{}:
+	default: // the goroutine has yet to take an earlier call
+	}
+}
+
+// runCalls executes the calls passed to enqueue.
+func (c *controller) runCalls() {
+	c.callsMu.Lock()
+	calls := c.calls
+	c.calls = nil
+	c.callsMu.Unlock()
+	for _, call := range calls {
+		call()
 	}
 }
 
@@ -112,8 +136,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case call := <-c.calls:
-			call()
+		case <-c.wake:
+			c.runCalls()
 		case <-ticker.C:
 			c.tick(ctx)
 		}
@@ -132,33 +156,11 @@
 // applyMemberChanges applies the platform's complete list of members, or
 // changes to it.
 func (c *controller) applyMemberChanges(changes []Change[Member], complete bool) {
-	now := time.Now()
-	listed := map[string]bool{}
-	for _, change := range changes {
-		if change.Removed || change.Err != nil {
-			continue
-		}
-		listed[change.Key] = true
-		c.members[change.Key] = change.Value
-		delete(c.unlistedSince, change.Key)
-	}
-	markUnlisted := func(id string) {
-		if _, known := c.members[id]; known && c.unlistedSince[id].IsZero() {
-			c.unlistedSince[id] = now
-		}
-	}
-	for _, change := range changes {
-		if change.Removed || change.Err != nil {
-			markUnlisted(change.Key)
-		}
-	}
-	if complete {
-		for id := range c.members {
-			if !listed[id] {
-				markUnlisted(id)
-			}
-		}
+	entries := make([]membership.ListingChange[Member], len(changes))
+	for i := range changes {
+		entries[i] = membership.ListingChange[Member]{Key: changes[i].Key, Value: changes[i].Value, Absent: changes[i].Removed || changes[i].Err != nil}
 	}
+	c.members.Apply(time.Now(), entries, complete)
 	c.updatePools()
 }
 
@@ -172,12 +174,8 @@
 	now := time.Now()
 	instances := c.gw.peers.liveInstances()
 	byGroup := map[string][]Member{}
-	for id, m := range c.members {
-		if !c.unlistedSince[id].IsZero() && now.Sub(c.unlistedSince[id]) > unlistedMemberTTL {
-			delete(c.members, id)
-			delete(c.unlistedSince, id)
-			continue
-		}
+	c.members.Forget(now, unlistedMemberTTL)
+	for _, m := range c.members.Entries() {
 		byGroup[m.Group] = append(byGroup[m.Group], m)
 	}
 	for name, members := range byGroup {
@@ -197,7 +195,7 @@
 			maxConnections = g.MaxConnections
 		}
 		set := servingSet(name, instances, maxConnections)
-		p.updateMembers(members, c.unlistedSince, current.outOfServiceZones, maxConnections, len(set), slices.Contains(set, c.gw.cfg.ID))
+		p.updateMembers(members, c.members.UnlistedSince(), current.outOfServiceZones, maxConnections, len(set), slices.Contains(set, c.gw.cfg.ID))
 	}
 }
 
@@ -208,6 +206,7 @@
 
 func (c *controller) tick(ctx context.Context) {
 	c.updatePools()
+	c.reportUnusableGroups(time.Now())
 	c.ensureDutyHolder(ctx)
 	c.gw.forEachPool(func(p *pool) {
 		p.tick(ctx)
@@ -215,6 +214,83 @@
 	})
 }
 
+// reportUnusableGroups reports each group that has had no usable member for longer than
+// an entry takes to come back after an outage of the store, and lists the members again:
+// the list may lack members that live.
+func (c *controller) reportUnusableGroups(now time.Time) {
+	current := c.gw.currentConfig.Load()
+	if current == nil {
+		return
+	}
+	for _, configured := range current.catalog.Groups() {
+		name := configured.Name
+		g := c.groupState(name)
+		p := c.gw.pool(name)
+		switch {
+		case p != nil && p.hasUsableMember(now):
+			if g.unusableReported {
+				c.gw.log.WithFields(logrus.Fields{"event": "group-usable", "group": name, "afterMs": now.Sub(g.unusableSince).Milliseconds()}).Info("the group has a usable member again")
+			}
+			g.unusableSince, g.unusableReported = time.Time{}, false
+			continue
+		case g.unusableSince.IsZero():
+			g.unusableSince = now
+		}
+		if now.Sub(g.unusableSince) < unlistedGrace {
+			continue
+		}
+		if !g.unusableReported {
+			g.unusableReported = true
+			c.gw.requests.countUnusableGroup()
+			fields := logrus.Fields{"event": "group-unusable", "group": name, "sinceMs": now.Sub(g.unusableSince).Milliseconds()}
+			if p != nil {
+				fields["members"] = p.describeMembers(now)
+			}
+			c.gw.log.WithFields(fields).Error("the group has no usable member; listing the members again")
+		}
+		if now.Sub(c.relistedAt) >= relistInterval {
+			c.relistedAt = now
+			c.gw.relistMembers.Store(true)
+			interruptPoll(c.gw.interruptMembersPoll)
+		}
+	}
+}
+
+// hasUsableMember reports whether any member accepts reads or writes.
+func (p *pool) hasUsableMember(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if !m.down && m.acceptsWork(m.ID == p.primary, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// describeMembers returns what the instance believes of each member, and since when in
+// milliseconds, for the log.
+func (p *pool) describeMembers(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, m := range p.members {
+		text := id
+		note := func(belief string, since time.Time) {
+			if !since.IsZero() {
+				text += " " + belief + "=" + strconv.FormatInt(now.Sub(since).Milliseconds(), 10)
+			}
+		}
+		note("failing", m.failingSince)
+		note("outOfService", m.outOfServiceSince)
+		note("unlisted", m.unlistedSince)
+		note("lastAnswer", m.lastAnswerAt)
+		out = append(out, text)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // watchPrimary searches for the primary of a group that has none, reports a
 // primary that does not respond, and replaces one that is leaving.
 func (c *controller) watchPrimary(ctx context.Context, p *pool) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -73,6 +73,8 @@
 	// A value sent to these channels interrupts the long poll for the
 	// operators' entries or the members.
 	interruptOperatorsPoll, interruptMembersPoll chan struct{}
+	// relistMembers makes the watcher of the members list them again.
+	relistMembers atomic.Bool
 	// refusedStarts numbers the refused session starts.
 	refusedStarts atomic.Uint64
 }
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -133,6 +133,13 @@
 	l.stats.Observe(r.workspace, r.route, r.took, outcome)
 }
 
+// countUnusableGroup counts a group that was found to have no usable member.
+func (l *requestLog) countUnusableGroup() {
+	if l.stats != nil {
+		l.stats.Scope().Counter("unusable_groups").Inc(1)
+	}
+}
+
 // roundHundredths rounds to two decimals.
 func roundHundredths(x float64) float64 { return math.Round(100*x) / 100 }
 
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,8 @@
 	interrupt <-chan struct{}
 	// interrupted is set if interrupt ended the last poll.
 	interrupted bool
+	// relist asks for the table to be listed again; it may be nil.
+	relist *atomic.Bool
 	// onRecovered is called when the store responds again; it may be nil.
 	onRecovered func()
 }
@@ -77,6 +80,9 @@
 	listed := false
 	retry := minStoreRetryDelay
 	for ctx.Err() == nil {
+		if w.relist != nil && w.relist.Swap(false) {
+			listed = false
+		}
 		asked := bootTime()
 		batch, err := w.poll(ctx, listed, revision)
 		switch {
@@ -267,7 +273,7 @@
 
 // watchMembers follows the platform's list of members.
 func (g *Gateway) watchMembers(ctx context.Context) {
-	w := watcher[Member]{name: "members", table: g.cfg.Store.Members(), log: g.log, interrupt: g.interruptMembersPoll}
+	w := watcher[Member]{name: "members", table: g.cfg.Store.Members(), log: g.log, interrupt: g.interruptMembersPoll, relist: &g.relistMembers}
 	w.pollWait = func() time.Duration {
 		if g.peers.readsStore() {
 			return membersPollWait
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,6 +89,26 @@
 	g.Expect(table.lists).To(Equal(2))
 }
 
+// An instance whose group has no usable member lists the table again, also during a long
+// poll.
+func TestWatcherListsAgainOnRequest(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	table := &hangingTable{waiting: make(chan struct{}), asked: make(chan time.Duration, 1)}
+	interrupt := make(chan struct{})
+	var relist atomic.Bool
+	applied := make(chan bool, 10)
+	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt, relist: &relist}
+	w.apply = func(_ Batch[int], complete bool, _ time.Duration) { applied <- complete }
+	go w.run(ctx)
+	g.Eventually(applied).Should(Receive(BeTrue()))
+	<-table.waiting
+	relist.Store(true)
+	interrupt <- struct{}{}
+	g.Eventually(applied).Should(Receive(BeTrue()), "the table is listed again")
+}
+
 // Starting members change their entries at every heartbeat. With 60 instances,
 // each change cost 60 responses of the store, half of all calls on an
 // undisturbed day.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -17,6 +17,9 @@
 	// connections closes a new one.
 	resetConnectionLifetime = 50 * time.Millisecond
 	droppedResponses        = 3
+	// memberEntryTTL is the outage of the store after which the members' entries have
+	// expired, and are written again before the store answers.
+	memberEntryTTL = 3 * time.Second
 	// shutdownTimeout is the time within which an instance must exit after
 	// SIGTERM: its grace period of 4 s plus 2 s to begin the shutdown.
 	shutdownTimeout = 6 * time.Second
@@ -73,7 +76,13 @@
 		return restore(in.store), in.store.Freeze()
 	case StoreDown:
 		s.store.SetDown(true)
-		return func() error { s.store.SetDown(false); return nil }, nil
+		return func() error {
+			if f.Until-f.From > memberEntryTTL {
+				s.expireMembers()
+			}
+			s.store.SetDown(false)
+			return nil
+		}, nil
 	case StoreCompacted:
 		s.store.CompactHistory()
 		return none, nil
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// expireMembers removes the members' entries and writes them again, as the store does
+// when it could renew no entry during an outage. The next response of the table's feed
+// holds the removals and the returns.
+func (s *cluster) expireMembers() {
+	for _, m := range s.group.Members() {
+		s.store.Put("servers", m.ID, nil)
+	}
+	s.registerMembers()
+}
+
 // publishKeys writes a configuration with or without the revocable key.
 func (s *cluster) publishKeys(revoked bool) {
 	s.config.Version++
