Confirm the primary's leadership with the other members of the group

Cause: strict reads and position samples took an accepted read-write transaction for a proof of leadership.

Ruled out: a wait before each promotion until every instance's right to use the primary has lapsed: it lengthens each failover by the lapse and needs the holder of the promotion lease for reads. Proof by a write: the gateway has none of its own.

Change: a read-write transaction at the primary counts only if the other members, asked after the statement came in, refuse one; if some do not answer, one listed replica that is not paused and knows no newer term than the primary is enough, since a promotion is ordered only while all others are paused (core/promotion.CheckLeadership). Checks run one at a time per group and are shared by all statements received before. Unconfirmed statements are refused at once as not run. A former primary is told to demote by the holder after a promotion, and by whoever finds it leading in an older term. Transactions on other than strict routes carry the floor to the primary.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -37,6 +37,9 @@
 	// no other instance can claim the promotion lease either.
 	dutyRenewAge     = 500 * time.Millisecond
 	dutyRenewTimeout = 300 * time.Millisecond
+	// demoteTimeout bounds the attempts to demote a former primary, which are made every
+	// demoteRetryInterval.
+	demoteTimeout, demoteRetryInterval = 10 * time.Second, 500 * time.Millisecond
 	// cutOffRecheckDelay separates the two checks that confirm that commits
 	// reach no replica.
 	cutOffRecheckDelay = 150 * time.Millisecond
@@ -398,6 +401,7 @@
 			c.pool.setPrimary(successor.ID, status.Term)
 			c.pool.mu.Unlock()
 			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
+			go c.demoteFormer(status.Term)
 			return true, nil
 		}
 		sleep(ctx, primaryPollInterval)
@@ -405,6 +409,27 @@
 	return false, errors.New("the successor did not become primary in time")
 }
 
+// demoteFormer tells the former primary that it has been replaced, since one that cannot
+// reach its successor goes on as primary. It gives up after demoteTimeout; statements
+// are kept away from the former primary by leadership checks.
+func (c *primaryChange) demoteFormer(term uint64) {
+	members, _, _, _ := c.pool.snapshot()
+	i := slices.IndexFunc(members, func(m poolMember) bool { return m.ID == c.primary })
+	if i < 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoteTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := c.pool.controlCall(ctx, members[i].Member, statement.Statement{Kind: statement.Demote, Term: term})
+		if err == nil || isMemberError(err) {
+			c.log().WithField("term", term).Info("former primary demoted")
+			return
+		}
+		sleep(ctx, demoteRetryInterval)
+	}
+}
+
 func (c *primaryChange) announcePrimary(primary *pb.Primary) {
 	for _, client := range c.controller.gw.peers.clients() {
 		go func() {
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -200,7 +200,11 @@
 		if req.needsPrimary {
 			ok, err := s.proveLeadership(conn, p, st, op.deadline)
 			if err != nil || !ok {
-				p.release(conn, err == nil)
+				unconfirmed := errors.Is(err, errUnconfirmed)
+				p.release(conn, err == nil || unconfirmed)
+				if unconfirmed {
+					return statement.Reply{}, p.unconfirmedError()
+				}
 				if err == nil {
 					p.recordNotPrimary(conn)
 				}
@@ -256,7 +260,7 @@
 func (s *session) proveLeadership(conn *pooledConn, p *pool, st statement.Statement, deadline time.Time) (bool, error) {
 	setup := s.setupStatements(conn, st)
 	ok, err := p.proveLeadership(conn, deadline, setup...)
-	if err == nil {
+	if err == nil || errors.Is(err, errUnconfirmed) {
 		s.recordSetup(conn, setup)
 	}
 	return ok, err
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -70,6 +70,7 @@
 	// expected.
 	primaryChanging bool
 	membersChanged  chan struct{}
+	leadership      leadershipChecks
 	positionSamples consistency.PrimaryPositionLog
 	acknowledged    group.Position
 	queue           *admission.Queue
@@ -116,6 +117,10 @@
 	// unlistedSince is when the platform stopped listing the member.
 	unlistedSince time.Time
 	commitStalls  int
+	// witness is an idle connection for calls of the gateway's own, or nil. The member
+	// is not asked to witness before witnessSilentUntil.
+	witness            *pooledConn
+	witnessSilentUntil time.Time
 }
 
 // pooledConn is a connection that belongs to one workspace.
@@ -202,8 +207,10 @@
 	c.member.readBackoff = 0
 }
 
-// recordLeadership records the position returned by a member that proved to be
-// primary by its response to a statement sent at asked.
+// recordLeadership records the position returned by a member in its response to a
+// statement sent at asked. The member must have been confirmed to lead the group at that
+// time: by a leadership check that began after asked, or by a commit sent at asked whose
+// acknowledgement shows that a replica still follows.
 func (p *pool) recordLeadership(c *pooledConn, asked time.Duration, at group.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
@@ -108,13 +109,14 @@
 	tx := s.tx
 	req := &connRequest{workspace: tx.workspace.Name, deadline: deadline, maxWait: maxQueueWait(tx.route)}
 	var last error
+	useFloor := tx.route.Consistency != catalog.Strict
 	for range readAttempts {
 		begin := statement.Statement{Kind: statement.Begin}
 		req.needsPrimary = true
-		if tx.readOnly && tx.route.Consistency != catalog.Strict {
+		if useFloor {
 			if floor, known := s.readFloor(tx.route, tx.pool); known {
-				begin.ReadOnly, begin.AfterPosition, req.needsPrimary = true, floor, false
-				rec.floor = floor
+				begin.AfterPosition, rec.floor = floor, floor
+				begin.ReadOnly, req.needsPrimary = tx.readOnly, !tx.readOnly
 			}
 		}
 		conn, err := tx.pool.acquire(ctx, req, rec)
@@ -131,18 +133,31 @@
 			tx.conn = conn
 			return nil
 		}
+		if errors.Is(err, errUnconfirmed) {
+			tx.pool.rollbackAndRelease(conn)
+			return tx.pool.unconfirmedError()
+		}
 		tx.pool.release(conn, err == nil || isMemberError(err))
 		last = err
-		if !req.needsPrimary {
-			if req.excluded == nil {
-				req.excluded = map[string]bool{}
-			}
-			req.excluded[conn.member.ID] = true
+		if req.needsPrimary {
+			// Either this member has been replaced, or the floor includes commits that a
+			// promotion rolled back: a leadership check tells.
+			useFloor = useFloor && !isLagging(err)
+			continue
+		}
+		if req.excluded == nil {
+			req.excluded = map[string]bool{}
 		}
+		req.excluded[conn.member.ID] = true
 	}
 	return notRun(verdict.QueueFull, "no member accepted the transaction").WithRetryAfter(refusalRetryAfter).WithCause(last)
 }
 
+func isLagging(err error) bool {
+	e := new(statement.Error)
+	return errors.As(err, &e) && e.Code == statement.Lagging
+}
+
 func isMemberError(err error) bool {
 	e := new(statement.Error)
 	return errors.As(err, &e)
@@ -154,6 +169,11 @@
 	p := s.tx.pool
 	setup := s.setupStatements(conn, first)
 	asked := bootTime()
+	// A floor already rules out a former primary, whose log ends before it.
+	var check *leadershipCheck
+	if !begin.ReadOnly && begin.AfterPosition.IsZero() {
+		check = p.checkLeadership(conn.member.ID)
+	}
 	replies, err := p.exchange(conn, deadline, append(setup, begin)...)
 	if err != nil {
 		return false, err
@@ -166,9 +186,17 @@
 	s.recordSetup(conn, setup)
 	switch r := replies[len(setup)]; {
 	case r.Err == nil:
-		if !begin.ReadOnly {
+		if check != nil {
+			switch check.wait(deadline) {
+			case promotion.Superseded:
+				p.recordNotPrimary(conn)
+				return false, errUnconfirmed
+			case promotion.Unconfirmed:
+				return false, errUnconfirmed
+			}
 			p.recordLeadership(conn, asked, r.Position)
-		} else {
+		}
+		if begin.ReadOnly {
 			p.resetReadBackoff(conn)
 		}
 		return true, nil
@@ -176,7 +204,9 @@
 		p.recordNotPrimary(conn)
 		return false, r.Err
 	case r.Err.Code == statement.Lagging:
-		p.backOffReads(conn)
+		if begin.ReadOnly {
+			p.backOffReads(conn)
+		}
 		return false, r.Err
 	default:
 		return false, r.Err
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -61,6 +61,10 @@
 			c.Close()
 		}
 	}
+	if m.witness != nil {
+		m.witness.Close()
+		m.witness = nil
+	}
 	delete(p.members, m.ID)
 	if p.primary == m.ID {
 		p.primary = ""
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -5,7 +5,10 @@
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
@@ -150,14 +153,17 @@
 	if err == nil && !ok {
 		p.recordNotPrimary(c)
 	}
-	p.release(c, err == nil)
+	p.release(c, err == nil || errors.Is(err, errUnconfirmed))
 }
 
 // proveLeadership begins and rolls back an empty read-write transaction, which
-// only the primary accepts and which needs no execution slot. It returns false
-// if the member is not primary.
+// only a primary accepts and which needs no execution slot. A primary that has
+// been replaced accepts it until it learns of that, so the other members must
+// confirm as well that none of them leads. It returns false if the member is not
+// primary, and an error with the cause errUnconfirmed if that is not known.
 func (p *pool) proveLeadership(c *pooledConn, deadline time.Time, setup ...statement.Statement) (bool, error) {
 	asked := bootTime()
+	check := p.checkLeadership(c.member.ID)
 	statements := append(setup, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
 	replies, err := p.exchange(c, deadline, statements...)
 	if err != nil {
@@ -175,6 +181,12 @@
 		}
 		return false, begin.Err
 	}
+	switch check.wait(deadline) {
+	case promotion.Superseded:
+		return false, nil
+	case promotion.Unconfirmed:
+		return false, p.unconfirmedError()
+	}
 	p.recordLeadership(c, asked, begin.Position)
 	return true, nil
 }
