Ask for the primary's confirmation on pooled connections

Cause: the checks opened connections of their own.

Change: a check uses an idle connection of any workspace, or opens one that stays in the pool; only if all are in use, one more. The status of members, which occupies a slot, is asked for only while a statement waits for it. The gateway's own calls no longer enter the mean hold time, from which the expected wait is estimated.

--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -150,12 +150,14 @@
 	defer p.mu.Unlock()
 	m := c.member
 	delete(m.running, c)
-	if !c.lastUsedAt.IsZero() {
+	// The gateway's own calls are much shorter than clients' statements and would make
+	// the expected wait in the queue too short.
+	if !c.lastUsedAt.IsZero() && !c.isOwnCall {
 		holdTime := now.Sub(c.lastUsedAt)
 		p.meanHoldTime += time.Duration(holdTimeSmoothing * float64(holdTime-p.meanHoldTime))
 		p.queue.Done(c.workspace, c.charged, holdTime)
 	}
-	c.charged = 0
+	c.charged, c.isOwnCall = 0, false
 	if !reusable || c.closed || c.state != statement.Idle || m.down || p.members[m.ID] != m || !m.acceptsWork(m.ID == p.primary, now) || m.open > p.connLimit(m) {
 		m.open--
 		c.closed = true
--- a/pkg/gateway/leadership.go
+++ b/pkg/gateway/leadership.go
@@ -23,6 +23,9 @@
 	// witnessBackoff is how long a member that left a check without an answer is not
 	// waited for.
 	witnessBackoff = 500 * time.Millisecond
+	// witnessIdleTimeout is the time after which an unused connection outside the pool is
+	// closed.
+	witnessIdleTimeout = 2 * time.Second
 )
 
 // errUnconfirmed means that the primary could not be confirmed to lead its group.
@@ -38,8 +41,14 @@
 // were received before it began.
 type leadershipCheck struct {
 	primary string
-	done    chan struct{}
-	result  promotion.Leadership
+	// workspace owns connections that the check opens; "" if none did request it.
+	workspace string
+	// wanted is closed once a statement waits for the result although not all members
+	// have answered. Only then the check asks for their status.
+	wanted     chan struct{}
+	wantedOnce sync.Once
+	done       chan struct{}
+	result     promotion.Leadership
 }
 
 // leadershipChecks runs the checks of one pool one after another. It is guarded by the
@@ -51,13 +60,13 @@
 
 // checkLeadership returns a check of the member's leadership that has yet to begin, so
 // that its result also covers everything before the call.
-func (p *pool) checkLeadership(primary string) *leadershipCheck {
+func (p *pool) checkLeadership(primary, workspace string) *leadershipCheck {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if next := p.leadership.next; next != nil && next.primary == primary {
 		return next
 	}
-	check := &leadershipCheck{primary: primary, done: make(chan struct{})}
+	check := &leadershipCheck{primary: primary, workspace: workspace, wanted: make(chan struct{}), done: make(chan struct{})}
 	if p.leadership.running && p.leadership.next == nil {
 		p.leadership.next = check
 		return check
@@ -73,7 +82,7 @@
 // requested meanwhile.
 func (p *pool) runLeadershipChecks(check *leadershipCheck, series bool) {
 	for check != nil {
-		check.result = p.askWitnesses(check.primary)
+		check.result = p.askWitnesses(check)
 		close(check.done)
 		if !series {
 			return
@@ -87,6 +96,7 @@
 
 // wait returns the result of the check, or Unconfirmed at the deadline.
 func (c *leadershipCheck) wait(deadline time.Time) promotion.Leadership {
+	c.wantedOnce.Do(func() { close(c.wanted) })
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
@@ -98,7 +108,8 @@
 }
 
 // askWitnesses asks the other members of the group whether they follow.
-func (p *pool) askWitnesses(primary string) promotion.Leadership {
+func (p *pool) askWitnesses(check *leadershipCheck) promotion.Leadership {
+	primary, workspace := check.primary, check.workspace
 	deadline := time.Now().Add(leadershipTimeout)
 	members, witnesses := p.witnesses(primary)
 	if len(witnesses) == 0 {
@@ -117,7 +128,7 @@
 		}
 		waiting++
 		go func() {
-			reply, err := p.askMember(m, deadline, statement.Statement{Kind: statement.Begin})
+			reply, err := p.askMember(m, workspace, deadline, statement.Statement{Kind: statement.Begin})
 			answers <- answer{i, reply, err}
 		}()
 	}
@@ -137,6 +148,11 @@
 	if result != promotion.Unconfirmed {
 		return result
 	}
+	select {
+	case <-check.wanted:
+	case <-time.After(time.Until(deadline)):
+		return result
+	}
 	term := p.askStatuses(primary, members, witnesses, deadline)
 	result = promotion.CheckLeadership(witnesses, term)
 	for i, m := range members {
@@ -157,7 +173,7 @@
 // demote tells a former primary that the group has a primary in the term.
 func (p *pool) demote(m *poolMember, term uint64) {
 	// A failed call is repeated by the next check.
-	_, _ = p.askMember(m, time.Now().Add(leadershipTimeout), statement.Statement{Kind: statement.Demote, Term: term})
+	_, _ = p.askMember(m, "", time.Now().Add(leadershipTimeout), statement.Statement{Kind: statement.Demote, Term: term})
 }
 
 // witnesses returns the other members of the group and an empty witness for each. A
@@ -215,7 +231,7 @@
 }
 
 func (p *pool) askStatus(m *poolMember, deadline time.Time) (statement.MemberStatus, error) {
-	reply, err := p.askMember(m, deadline, statement.Statement{Kind: statement.Status})
+	reply, err := p.askMember(m, "", deadline, statement.Statement{Kind: statement.Status})
 	if err != nil {
 		return statement.MemberStatus{}, err
 	}
@@ -225,48 +241,99 @@
 	return p.dialer.ParseStatus(reply)
 }
 
-// askMember sends one statement of the gateway's own to a member, on a connection that is
-// kept for that purpose.
-func (p *pool) askMember(m *poolMember, deadline time.Time, st statement.Statement) (statement.Reply, error) {
-	p.mu.Lock()
-	conn := m.witness
-	m.witness = nil
-	p.mu.Unlock()
-	if conn != nil && conn.IsStale() {
-		conn.Close()
-		conn = nil
-	}
-	var err error
-	if conn == nil {
-		ctx, cancel := context.WithDeadline(context.Background(), deadline)
-		var opened MemberConn
-		opened, err = p.dialer.Open(ctx, m.Member, controlWorkspace)
-		cancel()
-		if err != nil {
-			p.noteSilentWitness(m, err)
-			return statement.Reply{}, err
-		}
-		conn = &pooledConn{MemberConn: opened, member: m, workspace: controlWorkspace}
+// askMember sends one statement of the gateway's own to a member.
+func (p *pool) askMember(m *poolMember, workspace string, deadline time.Time, st statement.Statement) (statement.Reply, error) {
+	conn, pooled, err := p.witnessConn(m, workspace, deadline)
+	if err != nil {
+		p.noteSilentWitness(m, err)
+		return statement.Reply{}, err
 	}
 	replies, err := p.exchange(conn, deadline, st)
 	if err == nil && conn.state != statement.Idle {
 		// The member leads, or failed otherwise: end its transaction.
 		_, err = p.exchange(conn, deadline, statement.Statement{Kind: statement.Rollback})
 	}
+	if pooled {
+		p.release(conn, err == nil)
+	} else {
+		p.keepWitnessConn(conn, err == nil)
+	}
+	if len(replies) == 1 {
+		return replies[0], nil
+	}
+	p.noteSilentWitness(m, err)
+	return statement.Reply{}, err
+}
+
+// witnessConn returns a connection to the member for one statement: an idle one of any
+// workspace, or a new one of the given workspace that stays in the pool. Connections to
+// members are scarce, above all after a loss of power, when members keep the old ones for
+// several seconds. Only if all connections of this instance are in use, one more is
+// opened; pooled is then false.
+func (p *pool) witnessConn(m *poolMember, workspace string, deadline time.Time) (conn *pooledConn, pooled bool, err error) {
+	p.mu.Lock()
+	for {
+		conn := m.anyIdle()
+		if conn == nil {
+			break
+		}
+		p.takeIdle(m, conn)
+		p.mu.Unlock()
+		if !conn.IsStale() {
+			return conn, true, nil
+		}
+		p.release(conn, false)
+		p.mu.Lock()
+	}
+	if conn = m.witness; conn != nil {
+		m.witness = nil
+		p.mu.Unlock()
+		if !conn.IsStale() {
+			return conn, false, nil
+		}
+		conn.Close()
+		p.mu.Lock()
+	}
+	now := time.Now()
+	if workspace != "" && m.open < p.connLimit(m) && !now.Before(m.connLimitUntil) && m.acceptsWork(false, now) {
+		m.open++
+		m.opening++
+		p.mu.Unlock()
+		conn, err = p.openConn(context.Background(), grant{member: m}, &connRequest{workspace: workspace, deadline: deadline})
+		return conn, true, err
+	}
+	p.mu.Unlock()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	opened, err := p.dialer.Open(ctx, m.Member, controlWorkspace)
+	if err != nil {
+		return nil, false, err
+	}
+	return &pooledConn{MemberConn: opened, member: m, workspace: controlWorkspace}, false, nil
+}
+
+// keepWitnessConn keeps a connection that is not part of the pool for the next statement
+// of the gateway's own, if it is usable.
+func (p *pool) keepWitnessConn(conn *pooledConn, usable bool) {
+	m := conn.member
 	p.mu.Lock()
-	keep := err == nil && m.witness == nil && p.members[m.ID] == m
+	keep := usable && m.witness == nil && p.members[m.ID] == m
 	if keep {
-		m.witness = conn
+		m.witness, conn.lastUsedAt = conn, time.Now()
 	}
 	p.mu.Unlock()
 	if !keep {
 		conn.Close()
 	}
-	if len(replies) == 1 {
-		return replies[0], nil
+}
+
+// closeUnusedWitness closes the member's connection outside the pool if it was not used
+// for witnessIdleTimeout. The caller holds p.mu.
+func (m *poolMember) closeUnusedWitness(now time.Time) {
+	if m.witness != nil && now.Sub(m.witness.lastUsedAt) > witnessIdleTimeout {
+		m.witness.Close()
+		m.witness = nil
 	}
-	p.noteSilentWitness(m, err)
-	return statement.Reply{}, err
 }
 
 // noteSilentWitness makes the next checks not wait for a member that did not answer.
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -141,6 +141,8 @@
 	state statement.State
 	// idleInTransaction is set while an open transaction waits for its client.
 	idleInTransaction bool
+	// isOwnCall is set while the connection is used for calls of the gateway's own.
+	isOwnCall bool
 	// isRead is set if the current statement can be retried on another member.
 	isRead bool
 }
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -172,7 +172,7 @@
 	// A floor already rules out a former primary, whose log ends before it.
 	var check *leadershipCheck
 	if !begin.ReadOnly && begin.AfterPosition.IsZero() {
-		check = p.checkLeadership(conn.member.ID)
+		check = p.checkLeadership(conn.member.ID, conn.workspace)
 	}
 	replies, err := p.exchange(conn, deadline, append(setup, begin)...)
 	if err != nil {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -115,6 +115,7 @@
 // holds p.mu.
 func (p *pool) closeUnused(m *poolMember, now time.Time) {
 	refusesWork := !m.acceptsWork(m.ID == p.primary, now)
+	m.closeUnusedWitness(now)
 	for _, list := range m.idle {
 		for _, c := range append([]*pooledConn(nil), list...) {
 			if refusesWork || m.open > p.connLimit(m) || now.Sub(c.lastUsedAt) > idleConnTimeout {
@@ -133,8 +134,8 @@
 	return nil
 }
 
-// takeIdle removes a specific idle connection from the pool. The caller holds
-// p.mu.
+// takeIdle removes a specific idle connection from the pool for a call of the
+// gateway's own. The caller holds p.mu.
 func (p *pool) takeIdle(m *poolMember, c *pooledConn) {
 	list := m.idle[c.workspace]
 	for i := range list {
@@ -142,6 +143,7 @@
 			m.idle[c.workspace] = append(list[:i:i], list[i+1:]...)
 			m.idleCount--
 			m.running[c] = struct{}{}
+			c.isOwnCall = true
 			return
 		}
 	}
@@ -163,7 +165,7 @@
 // primary, and an error with the cause errUnconfirmed if that is not known.
 func (p *pool) proveLeadership(c *pooledConn, deadline time.Time, setup ...statement.Statement) (bool, error) {
 	asked := bootTime()
-	check := p.checkLeadership(c.member.ID)
+	check := p.checkLeadership(c.member.ID, c.workspace)
 	statements := append(setup, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
 	replies, err := p.exchange(c, deadline, statements...)
 	if err != nil {
