Keep the choices of instances while the fleet does not change

Cause: each tick of the controller chose the serving set of each group among all instances, each statement that is relayed the owner among all, each exchange the collector.

Change: a view of the live and of the healthy instances is kept for 200 ms or until an instance joins, leaves, returns or becomes suspect, with the choices made from it.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -194,7 +194,7 @@
 		if g != nil {
 			maxConnections = g.MaxConnections
 		}
-		set := servingSet(name, instances, maxConnections)
+		set := instances.servingSet(name, maxConnections)
 		p.updateMembers(members, c.members.UnlistedSince(), current.outOfServiceZones, maxConnections, len(set), slices.Contains(set, c.gw.cfg.ID))
 	}
 }
@@ -488,7 +488,7 @@
 	if tenure, claimed := c.gw.peers.dutyTenure(); claimed && tenure < minDutyTenure {
 		return
 	}
-	rank := slices.IndexFunc(c.gw.peers.liveInstances(), func(i membership.Instance) bool { return i.ID == c.gw.cfg.ID })
+	rank := slices.IndexFunc(c.gw.peers.liveInstances().instances, func(i membership.Instance) bool { return i.ID == c.gw.cfg.ID })
 	wait := claimDelay + time.Duration(rank)*claimDelayPerRank
 	if c.gw.draining.Load() || c.claiming || now.Sub(c.holderLostAt) < wait || now.Sub(c.storeStaleAt) < claimDelayAfterOutage || now.Sub(c.startedAt) < time.Second || now.Sub(c.lastClaimAt) < claimRetryInterval {
 		return
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -52,17 +52,18 @@
 	collector, isCollector := ps.collector()
 	if collector != ps.lastCollector {
 		ps.lastCollector = collector
-		ps.gw.log.WithFields(logrus.Fields{"event": "collector", "collector": collector, "live": len(ps.liveInstances())}).Info("collector changed")
+		ps.gw.log.WithFields(logrus.Fields{"event": "collector", "collector": collector, "live": len(ps.liveInstances().instances)}).Info("collector changed")
 	}
 	var confirmers []string
 	if collector != "" && askAll {
-		confirmers = chooseInstances("vouch/"+ps.gw.cfg.ID, largeFleetConfirmers, ps.healthyInstances())
+		confirmers = ps.healthyInstances().choose("vouch/"+ps.gw.cfg.ID, largeFleetConfirmers)
 	}
 	var dueNear, dueAll, dueConfirm []*peer
 	ps.mu.Lock()
 	for id, p := range ps.byID {
 		if now.Sub(p.lastHeard) > peerForgetTimeout && now.Sub(p.addedAt) > peerForgetTimeout {
 			delete(ps.byID, id)
+			ps.fleet.outdated = true
 			go ps.removeEntry(ctx, id)
 			continue
 		}
@@ -193,7 +194,7 @@
 // workspaces.
 func (ps *peers) localState(workspaces workspaceSet) *pb.State {
 	g := ps.gw
-	live := len(ps.liveInstances())
+	live := len(ps.liveInstances().instances)
 	ps.mu.Lock()
 	heardCount := 1
 	for _, p := range ps.byID {
@@ -257,7 +258,9 @@
 	defer ps.mu.Unlock()
 	p := ps.upsert(Instance{ID: s.Id, Zone: s.Zone, PeerAddress: s.Address, Started: s.Started})
 	if p.Started == s.Started {
-		p.lastHeard, p.leaving = time.Now(), s.Leaving
+		now := time.Now()
+		ps.fleet.outdated = ps.fleet.outdated || p.leaving != s.Leaving || now.Sub(p.lastHeard) >= peerAliveTimeout
+		p.lastHeard, p.leaving = now, s.Leaving
 	}
 	switch {
 	case len(s.Alive) > 0:
@@ -265,13 +268,15 @@
 	case s.AliveDigest != p.reportedAliveDigest || s.AliveDigest == 0:
 		return 0
 	}
+	now := time.Now()
 	for _, m := range p.reportedAlive {
 		if m.Id == ps.gw.cfg.ID {
 			continue
 		}
 		other := ps.upsert(Instance{ID: m.Id, Zone: m.Zone, PeerAddress: m.Address, Started: m.Started})
 		if other.Started == m.Started {
-			other.lastHeard, other.leaving = time.Now(), false
+			ps.fleet.outdated = ps.fleet.outdated || other.leaving || now.Sub(other.lastHeard) >= peerAliveTimeout
+			other.lastHeard, other.leaving = now, false
 		}
 	}
 	return len(p.reportedAlive)
--- a/pkg/gateway/exchange_test.go
+++ b/pkg/gateway/exchange_test.go
@@ -82,12 +82,12 @@
 	for _, p := range asker.byID {
 		p.lastHeard, p.addedAt = p.lastHeard.Add(-2*peerAliveTimeout), p.addedAt.Add(-2*peerAliveTimeout)
 	}
-	g.Expect(asker.liveInstances()).To(HaveLen(1))
+	g.Expect(asker.liveInstances().instances).To(HaveLen(1))
 
 	s.AliveDigest = answer.AliveDigest
 	unchanged, err := collector.Sync(context.Background(), s)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(unchanged.Alive).To(BeEmpty())
 	g.Expect(asker.observeAlive(unchanged)).To(Equal(67))
-	g.Expect(asker.liveInstances()).To(HaveLen(68))
+	g.Expect(asker.liveInstances().instances).To(HaveLen(68))
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -84,7 +84,8 @@
 	lastCollector string
 	// digestSeed makes the digests of different processes differ.
 	digestSeed maphash.Seed
-	duty       Duty // guarded by mu; the newest known holder
+	fleet      fleetViews // guarded by mu
+	duty       Duty       // guarded by mu; the newest known holder
 	// dutyKnownSince is when that holder became known; guarded by mu.
 	dutyKnownSince time.Time
 	hasLeft        bool // guarded by mu
@@ -119,6 +120,7 @@
 	if p == nil || p.PeerAddress != i.PeerAddress || p.Started < i.Started {
 		p = &peer{Instance: i, addedAt: time.Now(), client: pb.NewGateProtobufClient("http://"+i.PeerAddress, ps.httpClient)}
 		ps.byID[i.ID] = p
+		ps.fleet.outdated = true
 	}
 	return p
 }
@@ -127,14 +129,6 @@
 	return !p.leaving && (now.Sub(p.lastHeard) < peerAliveTimeout || now.Sub(p.addedAt) < peerAliveTimeout)
 }
 
-// liveInstances returns the live instances sorted by ID, including this one
-// unless it is leaving.
-func (ps *peers) liveInstances() []membership.Instance {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	return ps.selectInstances((*peer).alive)
-}
-
 // selectInstances returns the accepted peers, and this instance unless it is
 // leaving, sorted by ID. The caller holds ps.mu.
 func (ps *peers) selectInstances(accept func(*peer, time.Time) bool) []membership.Instance {
@@ -224,16 +218,16 @@
 	healthy := ps.healthyInstances()
 	ps.mu.Lock()
 	known := len(ps.byID) + 1
-	if known > maxFullMeshInstances && len(healthy) < known/2 {
+	if known > maxFullMeshInstances && len(healthy.instances) < known/2 {
 		// Right after the start nobody has been heard from yet: use the listed
 		// instances.
-		healthy = ps.selectInstances(func(p *peer, now time.Time) bool { return !now.Before(p.suspectUntil) })
+		healthy = newFleetView(ps.selectInstances(func(p *peer, now time.Time) bool { return !now.Before(p.suspectUntil) }))
 	}
 	ps.mu.Unlock()
 	if known <= maxFullMeshInstances {
 		return nil
 	}
-	return chooseInstances("exchange", 2, healthy)
+	return healthy.choose("exchange", 2)
 }
 
 // collector returns the ID of the current collector, or "" in a small
@@ -271,7 +265,7 @@
 // entry.
 func (ps *peers) announceLeave(ctx context.Context) {
 	ps.mu.Lock()
-	ps.hasLeft = true
+	ps.hasLeft, ps.fleet.outdated = true, true
 	ps.mu.Unlock()
 	state := ps.localState(nil)
 	for _, c := range ps.clients() {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -73,12 +72,11 @@
 	return t.ServingSet(key)
 }
 
-// servingSet returns the instances that serve a group. Its size is limited by
-// the members' connections, so that a group's control traffic and connections
-// do not grow with the number of instances. In a small fleet all
-// instances serve.
-func servingSet(group string, instances []membership.Instance, maxConnections int) []string {
-	return chooseInstances(group, max(int(primaryConnShare*float64(maxConnections))/minServingConnsPerMember, 1), instances)
+// servingSetSize returns the number of instances that serve a group. It is limited by
+// the members' connections, so that a group's control traffic and connections do not
+// grow with the number of instances. In a small fleet all instances serve.
+func servingSetSize(maxConnections int) int {
+	return max(int(primaryConnShare*float64(maxConnections))/minServingConnsPerMember, 1)
 }
 
 // workspaceOwner returns the live peer that owns the workspace in the group,
@@ -88,27 +86,10 @@
 	p.mu.Lock()
 	maxConnections := p.maxConnections
 	p.mu.Unlock()
-	healthy := ps.healthyInstances()
-	set := servingSet(p.name, healthy, maxConnections)
-	serving := slices.DeleteFunc(healthy, func(i membership.Instance) bool { return !slices.Contains(set, i.ID) })
-	owner := chooseInstances(p.name+"/"+workspace, 1, serving)
-	if len(owner) == 0 {
-		return nil
-	}
+	owner := ps.healthyInstances().workspaceOwner(p.name, workspace, maxConnections)
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	return ps.byID[owner[0]]
-}
-
-// healthyInstances returns the live instances that were heard from and are not
-// suspect, sorted by ID. They may run statements for others. It includes this
-// instance unless it is leaving.
-func (ps *peers) healthyInstances() []membership.Instance {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	return ps.selectInstances(func(p *peer, now time.Time) bool {
-		return p.alive(now) && !now.Before(p.suspectUntil) && !p.lastHeard.IsZero()
-	})
+	return ps.byID[owner]
 }
 
 // markSuspect stops relaying to a peer that did not respond, for
@@ -117,6 +98,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	p.suspectUntil = time.Now().Add(peerSuspectDuration)
+	ps.fleet.outdated = true
 }
 
 // lastRelayedTransaction is the number of the last transaction that this
