Exchange states through a collector in each availability zone

Cause: all instances of a large fleet exchanged states with one collector. With 295 it got up to 1,500 exchanges a second, and each one summed up 190 limits over 294 peers.

Ruled out: one larger machine as the only collector: 28 Mbit/s of responses, and the work still grows with the instances times the limits.

Change: the instances of a zone exchange with a collector in it, one with the most capacity (setting capacity); the collectors ask each other for their sections. A report says which section it covers, so that each operation is charged once (core/quota, property tests over random fleets and changes of collectors). Only the collectors poll the store often, each 1.2 s.

--- a/cmd/mulberrygate/main.go
+++ b/cmd/mulberrygate/main.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	cfg := gateway.Config{
-		ID: settings.ID, Zone: settings.Zone, PeerAddress: cmp.Or(settings.PeerAdvertisedAddress, settings.PeerAddress),
+		ID: settings.ID, Zone: settings.Zone, Capacity: settings.Capacity, PeerAddress: cmp.Or(settings.PeerAdvertisedAddress, settings.PeerAddress),
 		RevocationBound: time.Duration(settings.RevocationBound), GracePeriod: time.Duration(settings.GracePeriod),
 		FirstStart: settings.FirstStart,
 		Dialer:     platform.MemberDialer{}, Store: platform.NewStore(settings.StoreAddress),
--- a/core/quota/large_fleet_test.go
+++ b/core/quota/large_fleet_test.go
@@ -1,10 +1,12 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/mulberrysill/mulberrysill/core/quota"
 )
@@ -104,3 +106,152 @@
 	l.Observe("b", quota.Report{Admitted: 10 + 800, Demand: 80}, at(11))
 	g.Expect(l.Level(at(11))).To(BeNumerically("~", -20, 1), "the refill of 10 s and the remaining 80 tokens do not cover 1,100 operations")
 }
+
+// sectioned is a fleet in sections. Each instance exchanges reports with the collector of
+// its section, and the collectors with each other.
+type sectioned struct {
+	now      time.Time
+	sections [][]*sectionMember
+	// collector is the index of each section's collector.
+	collector []int
+	admitted  int
+}
+
+type sectionMember struct {
+	*quota.Limiter
+	name, section string
+}
+
+func newSectioned(sections, members int, limit quota.Limit) *sectioned {
+	f := &sectioned{now: time.Unix(0, 0), collector: make([]int, sections)}
+	for s := range sections {
+		var list []*sectionMember
+		for m := range members {
+			l := quota.New(limit, 1, f.now)
+			l.SetInstances(sections*members, false)
+			list = append(list, &sectionMember{l, fmt.Sprintf("i%d-%d", s, m), fmt.Sprint(s)})
+		}
+		f.sections = append(f.sections, list)
+	}
+	return f
+}
+
+func (f *sectioned) round() {
+	f.now = f.now.Add(time.Second)
+	for s, list := range f.sections {
+		c := list[f.collector[s]]
+		for _, m := range list {
+			if m != c {
+				r := m.Report(f.now)
+				r.Section = m.section
+				c.Observe(m.name, r, f.now)
+				whole := c.ReportExcluding(m.name, f.now)
+				whole.Aggregate = true
+				m.Observe(c.name, whole, f.now)
+			}
+		}
+		for other, otherList := range f.sections {
+			if other != s {
+				o := otherList[f.collector[other]]
+				r := o.ReportSection(f.now)
+				r.Section = o.section
+				c.Observe(o.name, r, f.now)
+			}
+		}
+	}
+	for _, list := range f.sections {
+		for _, m := range list {
+			m.StartPeriod(f.now)
+		}
+	}
+}
+
+func (f *sectioned) admit(t *rapid.T) {
+	list := f.sections[rapid.IntRange(0, len(f.sections)-1).Draw(t, "section")]
+	m := list[rapid.IntRange(0, len(list)-1).Draw(t, "member")]
+	if ok, _ := m.Admit(f.now); ok {
+		f.admitted++
+	}
+}
+
+// Every operation is charged once at every instance, whichever way its report takes.
+func TestSectionsChargeEachOperationOnce(t *testing.T) {
+	const burst = 1e6
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSectioned(rapid.IntRange(1, 4).Draw(t, "sections"), rapid.IntRange(1, 4).Draw(t, "members"), quota.Limit{Rate: 1e-6, Burst: burst})
+		for range 4 {
+			f.round()
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 5).Draw(t, "step") == 0 {
+				f.round()
+			} else {
+				f.admit(t)
+			}
+		}
+		for range 4 {
+			f.round()
+		}
+		for _, list := range f.sections {
+			for _, m := range list {
+				NewWithT(t).Expect(burst-m.Level(f.now)).To(BeNumerically("~", f.admitted, 0.01), m.name)
+			}
+		}
+	})
+}
+
+// An instance that takes over as its section's collector is a new source for the others.
+// What they have been charged for already must not be charged again.
+func TestSectionsChargeNothingTwiceWhenACollectorChanges(t *testing.T) {
+	const burst = 1e6
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSectioned(rapid.IntRange(2, 4).Draw(t, "sections"), 3, quota.Limit{Rate: 1e-6, Burst: burst})
+		for range 4 {
+			f.round()
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				f.round()
+			case 1:
+				s := rapid.IntRange(0, len(f.sections)-1).Draw(t, "changed")
+				f.collector[s] = rapid.IntRange(0, 2).Draw(t, "collector")
+			default:
+				f.admit(t)
+			}
+		}
+		for range 4 {
+			f.round()
+		}
+		for _, list := range f.sections {
+			for _, m := range list {
+				NewWithT(t).Expect(burst-m.Level(f.now)).To(BeNumerically("<=", float64(f.admitted)+0.01), m.name)
+			}
+		}
+	})
+}
+
+// A decision's cost must not grow with the number of instances: the collector of 300
+// spent half of a core on the sums over all of them.
+func BenchmarkLargeFleet(b *testing.B) {
+	for _, instances := range []int{30, 300, 3000} {
+		now := time.Unix(0, 0)
+		l := quota.New(quota.Limit{Rate: 1000, Burst: 1000}, 1, now)
+		l.SetInstances(instances, false)
+		names := make([]string, instances)
+		for i := range names {
+			names[i] = fmt.Sprint(i)
+			l.Observe(names[i], quota.Report{Admitted: 1, Demand: 1}, now)
+		}
+		b.Run(fmt.Sprintf("observe-and-report-%d", instances), func(b *testing.B) {
+			n := uint64(0)
+			for b.Loop() {
+				n++
+				now = now.Add(time.Millisecond)
+				name := names[n%uint64(instances)]
+				l.Observe(name, quota.Report{Admitted: n, Demand: 1}, now)
+				l.ReportExcluding(name, now)
+			}
+		})
+	}
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -25,6 +25,9 @@
 	// peerTimeout is the time after which the demand of an instance that sends no
 	// reports is ignored. Its clients have moved to other instances by then.
 	peerTimeout = 3 * time.Second
+	// totalsInterval is the minimum time between two removals of expired reports from the
+	// totals.
+	totalsInterval = 100 * time.Millisecond
 	// initialReportWindow is the time after the start of a limiter within which it
 	// charges the first report of a peer: at the first start of a fleet, all
 	// instances begin to count at about the same time.
@@ -63,8 +66,17 @@
 	Demand float64
 	// Instances is the number of instances that the report covers; 0 means 1.
 	Instances int
+	// Aggregate is set if a collector reports for the instances of its section together;
+	// a report that covers several instances always is an aggregate.
+	Aggregate bool
+	// Section is the part of the fleet that an aggregate covers, and empty if it covers
+	// all instances but the receiver. For other reports it is the part that the instance
+	// belongs to.
+	Section string
 }
 
+func (r *Report) isAggregate() bool { return r.Aggregate || r.Instances > 1 }
+
 // peer is another instance that sends reports, for itself or as a collector.
 type peer struct {
 	// admitted is the count of the last report.
@@ -77,6 +89,23 @@
 	instances          int
 	demand             float64
 	lastReportAt       time.Time
+	// isAggregate is set if the last report was an aggregate.
+	isAggregate bool
+	// counted is set while the peer is part of the limiter's totals.
+	counted bool
+}
+
+// totals sums up the peers with recent reports, so that a decision does not depend on
+// the number of instances.
+type totals struct {
+	demand    float64
+	instances int
+	// sectionDemand and sectionInstances are the part of the peers that report for
+	// themselves.
+	sectionDemand    float64
+	sectionInstances int
+	// expireAt is the earliest time at which a peer's report may cease to be recent.
+	expireAt time.Time
 }
 
 // Limiter is one instance's view of one workspace's limit.
@@ -105,9 +134,16 @@
 	demandUpdatedAt   time.Time
 	admitted          uint64
 	peers             map[string]*peer
-	// collector is the last peer that reported for several instances; empty in a
-	// small fleet, where each instance reports only for itself.
-	collector string
+	totals            totals
+	// admittedByPeers is the sum of admittedSinceFirst over all peers, former ones
+	// included, and admittedInSection the part of those that report for themselves.
+	admittedByPeers, admittedInSection uint64
+	// collectors holds the last collector that reported for each section; it is empty in
+	// a small fleet, where each instance reports only for itself.
+	collectors map[string]string
+	// wholeReportAt and sectionReportAt are the times of the last aggregate of all other
+	// instances, and of the last report that covers less.
+	wholeReportAt, sectionReportAt time.Time
 	// instances is the number of live instances, this one included. Those without a
 	// recent report are assumed to have the same demand as this one.
 	instances int
@@ -121,7 +157,7 @@
 func New(limit Limit, level float64, now time.Time) *Limiter {
 	return &Limiter{
 		limit: limit, level: limit.Burst * level, periodLevel: limit.Burst * level,
-		startedAt: now, startedWithTokens: level > 0, refilledAt: now, demandUpdatedAt: now, peers: map[string]*peer{}, instances: 1,
+		startedAt: now, startedWithTokens: level > 0, refilledAt: now, demandUpdatedAt: now, peers: map[string]*peer{}, collectors: map[string]string{}, instances: 1,
 	}
 }
 
@@ -195,32 +231,101 @@
 	case l.reportedByCollector(from, p, r, now):
 	case r.Admitted > p.admitted:
 		p.admittedSinceFirst += r.Admitted - p.admitted
+		l.admittedByPeers += r.Admitted - p.admitted
+		if !r.isAggregate() {
+			l.admittedInSection += r.Admitted - p.admitted
+		}
 		operations := float64(r.Admitted - p.admitted)
 		if now.Sub(p.lastReportAt) > peerTimeout {
 			operations = l.lateCharge(p, operations)
 		}
 		l.charge(operations)
 	}
-	if r.Instances > 1 {
-		l.collector = from
+	if r.isAggregate() {
+		l.collectors[r.Section] = from
 	}
+	if r.isAggregate() && r.Section == "" {
+		l.wholeReportAt = now
+	} else {
+		l.sectionReportAt = now
+	}
+	l.uncount(p)
 	p.overflowAtReport = l.overflow
 	p.admitted, p.demand, p.lastReportAt, p.instances = r.Admitted, r.Demand, now, max(r.Instances, 1)
+	p.isAggregate = r.isAggregate()
+	l.count(p)
+}
+
+// count adds a peer to the totals.
+func (l *Limiter) count(p *peer) {
+	p.counted = true
+	l.totals.add(p, 1)
+	if expiry := p.lastReportAt.Add(peerTimeout); l.totals.expireAt.IsZero() || expiry.Before(l.totals.expireAt) {
+		l.totals.expireAt = expiry
+	}
+}
+
+// uncount removes a peer from the totals. It leaves expireAt as a lower bound.
+func (l *Limiter) uncount(p *peer) {
+	if p.counted {
+		p.counted = false
+		l.totals.add(p, -1)
+	}
+}
+
+func (t *totals) add(p *peer, sign int) {
+	t.demand += float64(sign) * p.demand
+	t.instances += sign * p.instances
+	if !p.isAggregate {
+		t.sectionDemand += float64(sign) * p.demand
+		t.sectionInstances += sign * p.instances
+	}
+}
+
+// refreshTotals removes the peers without a recent report from the totals.
+func (l *Limiter) refreshTotals(now time.Time) {
+	if l.totals.expireAt.IsZero() || !now.After(l.totals.expireAt) {
+		return
+	}
+	l.totals = totals{}
+	for _, p := range l.peers {
+		p.counted = false
+		if now.Sub(p.lastReportAt) <= peerTimeout {
+			l.count(p)
+		}
+	}
+	if next := now.Add(totalsInterval); l.totals.expireAt.Before(next) {
+		l.totals.expireAt = next
+	}
 }
 
 // reportedByCollector reports whether the increase of the peer's count is already
 // part of a collector's reports. This is so if the peer has just become the
-// collector, or if another collector reports for the peer now or did so while the
-// peer's own reports were missing.
+// collector of its section, if another collector reports for the peer now or did so
+// while the peer's own reports were missing, or if this instance has got reports of
+// the other kind, on all instances or on sections, since the peer's last one.
 func (l *Limiter) reportedByCollector(from string, p *peer, r Report, now time.Time) bool {
-	if r.Instances > 1 {
-		return l.collector != from
+	if r.isAggregate() {
+		other := l.wholeReportAt
+		if r.Section == "" {
+			other = l.sectionReportAt
+		}
+		return l.collectors[r.Section] != from || other.After(p.lastReportAt)
 	}
-	if l.collector == "" {
+	if l.reportedIn("", p, now) {
+		return true
+	}
+	return r.Section != "" && l.reportedIn(r.Section, p, now)
+}
+
+// reportedIn reports whether the collector of the section reports for the peer.
+func (l *Limiter) reportedIn(section string, p *peer, now time.Time) bool {
+	collector := l.collectors[section]
+	if collector == "" {
 		return false
 	}
-	collectorPeer := l.peers[l.collector]
-	return now.Sub(p.lastReportAt) > peerTimeout || (collectorPeer != nil && now.Sub(collectorPeer.lastReportAt) <= peerTimeout)
+	c := l.peers[collector]
+	return now.Sub(p.lastReportAt) > peerTimeout || (c != nil && now.Sub(c.lastReportAt) <= peerTimeout)
 }
 
 // lateCharge returns how many of the operations to charge that a peer admitted while
@@ -249,6 +354,7 @@
 	l.periodLevel, l.periodAdmitted, l.halfUsed = l.level-unreported, 0, false
 	for name, p := range l.peers {
 		if now.Sub(p.lastReportAt) > 4*peerTimeout {
+			l.uncount(p)
 			delete(l.peers, name)
 		}
 	}
@@ -262,21 +368,32 @@
 // ReportExcluding aggregates the reports of all instances except the named one, this
 // instance's own report included.
 func (l *Limiter) ReportExcluding(name string, now time.Time) Report {
+	l.refreshTotals(now)
 	r := l.Report(now)
-	r.Instances = 1
-	for other, p := range l.peers {
-		if other == name {
-			continue
-		}
-		r.Admitted += p.admittedSinceFirst
-		if now.Sub(p.lastReportAt) <= peerTimeout {
-			r.Demand += p.demand
-			r.Instances += p.instances
+	r.Admitted += l.admittedByPeers
+	r.Demand += l.totals.demand
+	r.Instances = 1 + l.totals.instances
+	if p := l.peers[name]; p != nil {
+		r.Admitted -= p.admittedSinceFirst
+		if p.counted {
+			r.Demand = max(r.Demand-p.demand, 0)
+			r.Instances -= p.instances
 		}
 	}
 	return r
 }
 
+// ReportSection aggregates this instance's report and those of the instances that report
+// for themselves, which are the other instances of the collector's section.
+func (l *Limiter) ReportSection(now time.Time) Report {
+	l.refreshTotals(now)
+	r := l.Report(now)
+	r.Admitted += l.admittedInSection
+	r.Demand += max(l.totals.sectionDemand, 0)
+	r.Instances, r.Aggregate = 1+l.totals.sectionInstances, true
+	return r
+}
+
 // NeedsFrequentReports reports whether reports should be more frequent because the
 // bucket or the instance's allowance is low. Below the reserve this does not help, as
 // each instance then spends only its share of the refill whatever the others do. The
@@ -340,13 +457,9 @@
 func (l *Limiter) share(now time.Time) float64 {
 	idleDemand := idleDemandFraction * l.limit.Rate / float64(l.instances)
 	own := l.updateDemand(now) + idleDemand
-	total, reporting := own, 1
-	for _, p := range l.peers {
-		if now.Sub(p.lastReportAt) <= peerTimeout {
-			total += p.demand + idleDemand*float64(p.instances)
-			reporting += p.instances
-		}
-	}
+	l.refreshTotals(now)
+	total := own + max(l.totals.demand, 0) + idleDemand*float64(l.totals.instances)
+	reporting := 1 + l.totals.instances
 	if reporting < l.instances {
 		total += float64(l.instances-reporting) * own
 	}
--- a/pkg/config/gate.go
+++ b/pkg/config/gate.go
@@ -16,6 +16,8 @@
 	// minRevocationBound allows for two responses of the store.
 	minRevocationBound = 3 * time.Second
 	minGracePeriod     = 3 * time.Second
+	// maxCapacity is in cores.
+	maxCapacity = 1024
 )
 
 // GateSettings are the settings of one gateway daemon.
@@ -24,6 +26,9 @@
 	ID string `yaml:"id"`
 	// Zone is the availability zone of the instance.
 	Zone string `yaml:"zone"`
+	// Capacity is the processor share of the machine, in cores; 0 if unknown. In a fleet
+	// of unequal machines, those with more capacity do more of the common work.
+	Capacity float64 `yaml:"capacity"`
 	// ClientAddress, ReadinessAddress and PeerAddress are IP addresses with ports
 	// to listen on; MetricsAddress may be empty.
 	ClientAddress    string `yaml:"clientAddress"`
@@ -76,6 +81,7 @@
 	}
 	check(s.ID != "", "id", "must not be empty")
 	check(s.Zone != "", "zone", "must not be empty")
+	check(s.Capacity >= 0 && s.Capacity <= maxCapacity, "capacity", "must be between 0 and %d cores", maxCapacity)
 	for _, a := range []struct {
 		field, value string
 		optional     bool
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -16,6 +16,10 @@
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
+// minSectionInterval is the minimum interval between two exchanges of a collector with
+// that of another zone, since traffic between zones is charged for.
+const minSectionInterval = 400 * time.Millisecond
+
 // run exchanges states with peers until ctx is done.
 func (ps *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(peerTickInterval)
@@ -54,11 +58,15 @@
 		ps.lastCollector = collector
 		ps.gw.log.WithFields(logrus.Fields{"event": "collector", "collector": collector, "live": len(ps.liveInstances().instances)}).Info("collector changed")
 	}
+	var others []string
+	if isCollector {
+		others = ps.otherCollectors()
+	}
 	var confirmers []string
 	if collector != "" && askAll {
 		confirmers = ps.healthyInstances().choose("vouch/"+ps.gw.cfg.ID, largeFleetConfirmers)
 	}
-	var dueNear, dueAll, dueConfirm []*peer
+	var dueNear, dueAll, dueConfirm, dueSection []*peer
 	ps.mu.Lock()
 	for id, p := range ps.byID {
 		if now.Sub(p.lastHeard) > peerForgetTimeout && now.Sub(p.addedAt) > peerForgetTimeout {
@@ -69,14 +77,21 @@
 		}
 		confirms := slices.Contains(confirmers, id)
 		initiates := askAll || needsSample || ps.gw.cfg.ID < id || now.Sub(p.lastHeard) > exchangeInterval+urgentExchangeInterval
+		collects := slices.Contains(others, id)
+		peerInterval := interval
 		if collector != "" {
-			initiates = confirms || (!isCollector && id == collector)
+			initiates = confirms || collects || (!isCollector && id == collector)
+			if collects {
+				peerInterval = max(interval, minSectionInterval)
+			}
 		}
-		if !initiates || p.exchanging || now.Sub(p.lastAsked) < interval {
+		if !initiates || p.exchanging || now.Sub(p.lastAsked) < peerInterval {
 			continue
 		}
 		p.exchanging, p.lastAsked = true, now
 		switch {
+		case collects:
+			dueSection = append(dueSection, p)
 		case confirms && id != collector:
 			dueConfirm = append(dueConfirm, p)
 		case now.Sub(p.lastAskedAll) < exchangeInterval:
@@ -92,6 +107,26 @@
 	// No usage reports: the collector's response already includes those of these
 	// peers.
 	ps.exchangeAll(ctx, dueConfirm, workspaceSet{})
+	ps.exchangeSections(ctx, dueSection, now)
+}
+
+// exchangeSections asks the collectors of other zones for their sections.
+func (ps *peers) exchangeSections(ctx context.Context, due []*peer, now time.Time) {
+	if len(due) == 0 {
+		return
+	}
+	state := ps.localState(workspaceSet{})
+	state.SectionOnly = true
+	for _, p := range due {
+		request := proto.Clone(state).(*pb.State)
+		ps.mu.Lock()
+		request.Partial = now.Sub(p.lastAskedAll) < exchangeInterval
+		if !request.Partial {
+			p.lastAskedAll = now
+		}
+		ps.mu.Unlock()
+		go ps.exchange(ctx, p, request)
+	}
 }
 
 // startLimitPeriods starts a new accounting period if one is due, either for
@@ -134,7 +169,7 @@
 	p.exchanging = false
 	ps.mu.Unlock()
 	if err != nil {
-		if collector, _ := ps.collector(); collector == p.ID {
+		if collector, self := ps.collector(); collector == p.ID || (self && slices.Contains(ps.otherCollectors(), p.ID)) {
 			ps.markSuspect(p) // the next collector takes over
 		}
 		return // a silent peer ages out; see dutyHolder and liveInstances
@@ -208,7 +243,7 @@
 	ps.mu.Unlock()
 	s := &pb.State{
 		Id: g.cfg.ID, Zone: g.cfg.Zone, Address: g.cfg.PeerAddress, Started: g.started, Leaving: left,
-		DutyHolder: duty.Holder, DutyStarted: duty.Started, DutyToken: duty.Token, AgeMs: -1,
+		DutyHolder: duty.Holder, DutyStarted: duty.Started, DutyToken: duty.Token, AgeMs: -1, Capacity: g.cfg.Capacity,
 	}
 	if c := g.currentConfig.Load(); c != nil {
 		s.Revision = c.revision
@@ -241,22 +276,41 @@
 	}
 	instances := ps.observeAlive(s)
 	ps.updateDuty(Duty{Holder: s.DutyHolder, Started: s.DutyStarted, Token: s.DutyToken})
-	reports := make(map[string]quota.Report, len(s.Usages))
-	for _, u := range s.Usages {
-		reports[u.Workspace] = quota.Report{Admitted: u.Admitted, Demand: u.Demand}
+	if !s.SectionOnly {
+		ps.observeUsages(s, instances)
 	}
-	ps.gw.limits.observe(s.Id+"/"+strconv.FormatInt(s.Started, 10), reports, max(instances, 1), s.Partial)
 	for _, primary := range s.Primaries {
 		ps.recordPrimary(primary)
 	}
 }
 
+// observeUsages applies the usages in the state of a peer. If it is a collector,
+// instances is the number of instances that it reported as alive.
+func (ps *peers) observeUsages(s *pb.State, instances int) {
+	// A collector's usages cover all others, or its section: those that it reported as
+	// alive, which do not include itself, and itself.
+	cover := quota.Report{Instances: max(instances, 1), Aggregate: instances > 0}
+	switch {
+	case s.Section != "":
+		cover = quota.Report{Instances: instances + 1, Aggregate: true, Section: s.Section}
+	case !cover.Aggregate:
+		cover.Section = s.Zone
+	}
+	reports := make(map[string]quota.Report, len(s.Usages))
+	for _, u := range s.Usages {
+		r := cover
+		r.Admitted, r.Demand = u.Admitted, u.Demand
+		reports[u.Workspace] = r
+	}
+	ps.gw.limits.observe(s.Id+"/"+strconv.FormatInt(s.Started, 10), reports, cover, s.Partial)
+}
+
 // observeAlive records that the peer and the instances it reports as alive are
 // alive, and returns the number of the latter.
 func (ps *peers) observeAlive(s *pb.State) int {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	p := ps.upsert(Instance{ID: s.Id, Zone: s.Zone, PeerAddress: s.Address, Started: s.Started})
+	p := ps.upsert(Instance{ID: s.Id, Zone: s.Zone, PeerAddress: s.Address, Started: s.Started, Capacity: s.Capacity})
 	if p.Started == s.Started {
 		now := time.Now()
 		ps.fleet.outdated = ps.fleet.outdated || p.leaving != s.Leaving || now.Sub(p.lastHeard) >= peerAliveTimeout
@@ -273,7 +327,7 @@
 		if m.Id == ps.gw.cfg.ID {
 			continue
 		}
-		other := ps.upsert(Instance{ID: m.Id, Zone: m.Zone, PeerAddress: m.Address, Started: m.Started})
+		other := ps.upsert(Instance{ID: m.Id, Zone: m.Zone, PeerAddress: m.Address, Started: m.Started, Capacity: m.Capacity})
 		if other.Started == m.Started {
 			ps.fleet.outdated = ps.fleet.outdated || other.leaving || now.Sub(other.lastHeard) >= peerAliveTimeout
 			other.lastHeard, other.leaving = now, false
--- a/pkg/gateway/fleetview.go
+++ b/pkg/gateway/fleetview.go
@@ -61,6 +61,40 @@
 	return owner[0]
 }
 
+// zones returns the availability zones of the instances, sorted.
+func (v *fleetView) zones() []string {
+	return v.cached("zones", func() []string {
+		var zones []string
+		for _, i := range v.instances {
+			zones = append(zones, i.Zone)
+		}
+		slices.Sort(zones)
+		return slices.Compact(zones)
+	})
+}
+
+// zoneCollector returns the collector of the zone, which is one of its instances with the
+// most capacity, or "" if the zone has no instance.
+func (v *fleetView) zoneCollector(zone string) string {
+	chosen := v.cached("collector\x00"+zone, func() []string {
+		var largest []membership.Instance
+		for _, i := range v.instances {
+			if i.Zone != zone || (len(largest) > 0 && i.Weight < largest[0].Weight) {
+				continue
+			}
+			if len(largest) > 0 && i.Weight > largest[0].Weight {
+				largest = nil
+			}
+			largest = append(largest, i)
+		}
+		return chooseInstances("exchange", 1, largest)
+	})
+	if len(chosen) == 0 {
+		return ""
+	}
+	return chosen[0]
+}
+
 // cached returns the kept choice, or makes and keeps it.
 func (v *fleetView) cached(key string, choose func() []string) []string {
 	v.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,8 @@
 type Config struct {
 	// ID is the instance's ID, and Zone its availability zone.
 	ID, Zone string
+	// Capacity is the processor share of the instance's machine; 0 if unknown.
+	Capacity float64
 	// PeerAddress is where other instances reach this one.
 	PeerAddress string
 	// RevocationBound is the time within which a revoked key must stop
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -153,19 +153,26 @@
 	return workspaces
 }
 
+// reportSection returns the combined reports of this instance and of those that report
+// to it for themselves.
+func (l *limits) reportSection(workspaces workspaceSet) map[string]quota.Report {
+	return l.collect(workspaces, (*quota.Limiter).ReportSection)
+}
+
 // observe applies the reports of another process, which may report for several
 // instances. If the reports are complete, a workspace without a report has no
-// demand there.
-func (l *limits) observe(from string, reports map[string]quota.Report, instances int, partial bool) {
+// demand there; empty is then its report.
+func (l *limits) observe(from string, reports map[string]quota.Report, empty quota.Report, partial bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	for name, limiter := range l.limiters {
 		r, reported := reports[name]
-		if !reported && partial {
-			continue
+		switch {
+		case reported:
+			limiter.Observe(from, r, now)
+		case !partial:
+			limiter.Observe(from, empty, now)
 		}
-		r.Instances = instances
-		limiter.Observe(from, r, now)
 	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -36,8 +36,8 @@
 	// rest of the revocation bound leaves time for a few responses.
 	maxConfirmationAge = 2*operatorsPollWait + 250*time.Millisecond
 	// maxFullMeshInstances is the number of instances up to which every pair
-	// exchanges states. In a larger fleet all exchange states with one
-	// collector.
+	// exchanges states. In a larger fleet the instances of an availability zone
+	// exchange states with a collector in it, and the collectors with each other.
 	maxFullMeshInstances = 16
 	// largeFleetConfirmers is the number of other instances that an instance
 	// of a large fleet asks if neither the store nor the collector
@@ -59,7 +59,7 @@
 	exchanging              bool
 	leaving                 bool
 	// reportedAlive holds the live instances that the peer last reported as
-	// the collector, and reportedAliveDigest the peer's digest of them.
+	// a collector, and reportedAliveDigest the peer's digest of them.
 	reportedAlive       []*pb.Member
 	reportedAliveDigest uint64
 	// suspectUntil is the time until which nothing is relayed to the peer.
@@ -79,7 +79,8 @@
 	// guarded by mu.
 	periodStarted, nearPeriodStarted time.Time
 	// lastInterrupt is when the operators' poll was last interrupted, and
-	// lastCollector the collector of the last check. Only run uses them.
+	// lastCollector the collector of this instance's zone at the last check. Only
+	// run uses them.
 	lastInterrupt time.Time
 	lastCollector string
 	// digestSeed makes the digests of different processes differ.
@@ -122,6 +123,9 @@
 		ps.byID[i.ID] = p
 		ps.fleet.outdated = true
 	}
+	if i.Capacity > 0 && p.Capacity != i.Capacity {
+		p.Capacity, ps.fleet.outdated = i.Capacity, true
+	}
 	return p
 }
 
@@ -135,11 +139,11 @@
 	now := time.Now()
 	var out []membership.Instance
 	if !ps.hasLeft {
-		out = append(out, membership.Instance{ID: ps.gw.cfg.ID, Zone: ps.gw.cfg.Zone})
+		out = append(out, membership.Instance{ID: ps.gw.cfg.ID, Zone: ps.gw.cfg.Zone, Weight: ps.gw.cfg.Capacity})
 	}
 	for id, p := range ps.byID {
 		if accept(p, now) {
-			out = append(out, membership.Instance{ID: id, Zone: p.Zone})
+			out = append(out, membership.Instance{ID: id, Zone: p.Zone, Weight: p.Capacity})
 		}
 	}
 	slices.SortFunc(out, func(a, b membership.Instance) int { return cmp.Compare(a.ID, b.ID) })
@@ -210,41 +214,56 @@
 	return true
 }
 
-// collectors returns the current collector of a large fleet and its
-// successor, or nothing in a small one. Instances that consider the same peers
-// healthy choose the same collectors; the successor takes over if the current
-// one does not respond.
-func (ps *peers) collectors() []string {
+// collectorView returns the instances among which collectors are chosen, or nil in a
+// small fleet. Instances that consider the same peers healthy choose the same collectors.
+func (ps *peers) collectorView() *fleetView {
 	healthy := ps.healthyInstances()
 	ps.mu.Lock()
+	defer ps.mu.Unlock()
 	known := len(ps.byID) + 1
-	if known > maxFullMeshInstances && len(healthy.instances) < known/2 {
-		// Right after the start nobody has been heard from yet: use the listed
-		// instances.
-		healthy = newFleetView(ps.selectInstances(func(p *peer, now time.Time) bool { return !now.Before(p.suspectUntil) }))
-	}
-	ps.mu.Unlock()
 	if known <= maxFullMeshInstances {
 		return nil
 	}
-	return healthy.choose("exchange", 2)
+	if len(healthy.instances) < known/2 {
+		// Right after the start nobody has been heard from yet: use the listed
+		// instances.
+		return newFleetView(ps.selectInstances(func(p *peer, now time.Time) bool { return !now.Before(p.suspectUntil) }))
+	}
+	return healthy
 }
 
-// collector returns the ID of the current collector, or "" in a small
-// fleet, and whether it is this instance.
+// collector returns the ID of the collector of this instance's zone, or "" in a small
+// fleet, and whether it is this instance. If it does not respond, another instance of the
+// zone takes its place.
 func (ps *peers) collector() (id string, self bool) {
-	c := ps.collectors()
-	if len(c) == 0 {
+	view := ps.collectorView()
+	if view == nil {
 		return "", false
 	}
-	return c[0], c[0] == ps.gw.cfg.ID
+	id = view.zoneCollector(ps.gw.cfg.Zone)
+	return id, id == ps.gw.cfg.ID
+}
+
+// otherCollectors returns the collectors of the other zones.
+func (ps *peers) otherCollectors() []string {
+	view := ps.collectorView()
+	if view == nil {
+		return nil
+	}
+	var out []string
+	for _, zone := range view.zones() {
+		if zone != ps.gw.cfg.Zone {
+			out = append(out, view.zoneCollector(zone))
+		}
+	}
+	return out
 }
 
 // storeReaders reports whether only a few instances poll the store frequently,
 // as in a large fleet, and whether this instance is one that does.
 func (ps *peers) storeReaders() (few, self bool) {
-	c := ps.collectors()
-	return len(c) > 0, len(c) == 0 || slices.Contains(c, ps.gw.cfg.ID)
+	collector, isCollector := ps.collector()
+	return collector != "", collector == "" || isCollector
 }
 
 // readsStore reports whether this instance polls the store frequently.
--- a/pkg/gateway/peerservice.go
+++ b/pkg/gateway/peerservice.go
@@ -15,30 +15,41 @@
 func (ps *peers) Sync(_ context.Context, s *pb.State) (*pb.State, error) {
 	ps.observeState(s)
 	var workspaces workspaceSet
-	if s.Partial {
+	switch {
+	case s.SectionOnly && s.Partial:
+		workspaces = ps.gw.limits.nearLimit()
+	case s.Partial:
 		workspaces = make(workspaceSet, len(s.Usages))
 		for _, u := range s.Usages {
 			workspaces[u.Workspace] = true
 		}
 	}
 	answer := ps.localState(workspaces)
-	if _, isCollector := ps.collector(); isCollector {
-		ps.fillCollectorAnswer(answer, s, workspaces)
+	switch _, isCollector := ps.collector(); {
+	case isCollector && s.SectionOnly:
+		answer.Section = answer.Zone
+		answer.Usages = usages(ps.gw.limits.reportSection(workspaces))
+		ps.fillAlive(answer, s)
+	case isCollector:
+		answer.Usages = usages(ps.gw.limits.reportOthers(s.Id+"/"+strconv.FormatInt(s.Started, 10), workspaces))
+		ps.fillAlive(answer, s)
+	case s.SectionOnly:
+		// The asker takes this instance for a collector. Its own usages reach the asker
+		// through the actual one.
+		answer.Usages, answer.Partial = nil, true
 	}
 	return answer, nil
 }
 
-// fillCollectorAnswer adds what the collector knows about the other instances
-// to its response.
-func (ps *peers) fillCollectorAnswer(answer, asker *pb.State, workspaces workspaceSet) {
-	answer.Usages = usages(ps.gw.limits.reportOthers(asker.Id+"/"+strconv.FormatInt(asker.Started, 10), workspaces))
+// fillAlive adds the live instances that the answer covers, unless the asker has them.
+func (ps *peers) fillAlive(answer, asker *pb.State) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := time.Now()
 	var alive []*pb.Member
 	for _, p := range ps.byID {
-		if p.alive(now) && !p.lastHeard.IsZero() {
-			alive = append(alive, &pb.Member{Id: p.ID, Zone: p.Zone, Address: p.PeerAddress, Started: p.Started})
+		if p.alive(now) && !p.lastHeard.IsZero() && (answer.Section == "" || p.Zone == answer.Section) {
+			alive = append(alive, &pb.Member{Id: p.ID, Zone: p.Zone, Address: p.PeerAddress, Started: p.Started, Capacity: p.Capacity})
 			// A sum is independent of the iteration order.
 			answer.AliveDigest += maphash.Comparable(ps.digestSeed, p.Instance)
 		}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -96,6 +96,9 @@
 	// Started is the process's start time in Unix milliseconds. It
 	// distinguishes successive processes of an instance.
 	Started int64 `json:"started"`
+	// Capacity is the processor share of the instance's machine; 0 if unknown. Instances
+	// with more capacity run more statements for others.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // OperatorEntry is one entry written by the operators: a configuration or a
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -20,7 +20,7 @@
 	// collectorPollWait is the same for the collectors of a large fleet,
 	// whose confirmation reaches the other instances up to exchangeInterval
 	// later.
-	collectorPollWait = 700 * time.Millisecond
+	collectorPollWait = 1200 * time.Millisecond
 	// peerConfirmedPollWait is the same for an instance that gets its
 	// confirmations from a peer.
 	peerConfirmedPollWait = 25 * time.Second
@@ -299,7 +299,7 @@
 
 // watchInstances registers this instance and periodically lists all instances.
 func (g *Gateway) watchInstances(ctx context.Context) {
-	self := Instance{ID: g.cfg.ID, Zone: g.cfg.Zone, PeerAddress: g.cfg.PeerAddress, Started: g.started}
+	self := Instance{ID: g.cfg.ID, Zone: g.cfg.Zone, PeerAddress: g.cfg.PeerAddress, Started: g.started, Capacity: g.cfg.Capacity}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		err := g.cfg.Store.PutInstance(callCtx, self)
