Let instances that follow a collector list no instances, and retry unconfirmed reads

Strict reads were refused at once when connections to the witnesses were scarce after a restart.

An unconfirmed read checks again within its queue wait.

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -203,7 +203,13 @@
 				unconfirmed := errors.Is(err, errUnconfirmed)
 				p.release(conn, err == nil || unconfirmed)
 				if unconfirmed {
-					return statement.Reply{}, p.unconfirmedError()
+					// Connections to the other members may be scarce for a moment.
+					if time.Since(op.rec.started) > maxQueueWait(op.route) {
+						return statement.Reply{}, p.unconfirmedError()
+					}
+					last = p.unconfirmedError()
+					time.Sleep(busyRetryDelay)
+					continue
 				}
 				if err == nil {
 					p.recordNotPrimary(conn)
@@ -238,6 +244,9 @@
 			req.excluded[conn.member.ID] = true
 		}
 	}
+	if e := new(verdict.Error); errors.As(last, &e) {
+		return statement.Reply{}, e
+	}
 	if e := new(statement.Error); errors.As(last, &e) {
 		return statement.Reply{}, memberError(e)
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -87,6 +87,10 @@
 	// collectorAnsweredAt is when the collector of this zone last answered, on the clock
 	// of bootTime; 0 for never.
 	collectorAnsweredAt atomic.Int64
+	// listedAt is when the first listing of the instances ended, on the clock of bootTime;
+	// 0 before. startedAt is when this process started, on the same clock.
+	listedAt  atomic.Int64
+	startedAt time.Duration
 	// fetchingConfig is set while a configuration is fetched from a peer.
 	fetchingConfig atomic.Bool
 	// digestSeed makes the digests of different processes differ.
@@ -100,7 +104,7 @@
 
 func newPeers(g *Gateway) *peers {
 	return &peers{
-		gw: g, byID: map[string]*peer{}, kick: make(chan struct{}, 1), digestSeed: maphash.MakeSeed(),
+		gw: g, startedAt: bootTime(), byID: map[string]*peer{}, kick: make(chan struct{}, 1), digestSeed: maphash.MakeSeed(),
 		httpClient: &http.Client{Transport: &http.Transport{
 			DialContext:     (&net.Dialer{Timeout: peerTimeout}).DialContext,
 			IdleConnTimeout: 30 * time.Second,
@@ -110,6 +114,13 @@
 
 func (ps *peers) handler() http.Handler { return pb.NewGateServer(ps) }
 
+// noteListing records that the instances have been listed, or that this has failed, and
+// adds those that were listed.
+func (ps *peers) noteListing(entries []Change[Instance]) {
+	ps.applyListing(entries)
+	ps.listedAt.CompareAndSwap(0, int64(bootTime()))
+}
+
 // applyListing adds the instances listed by the store.
 func (ps *peers) applyListing(entries []Change[Instance]) {
 	ps.mu.Lock()
--- a/pkg/gateway/tablespread.go
+++ b/pkg/gateway/tablespread.go
@@ -119,13 +119,18 @@
 	ps.gw.controller.enqueue(func() { ps.gw.controller.applyFetchedMembers(changes, response.Revision) })
 }
 
-// followsCollector reports whether this instance learns of changes from a collector.
+// followsCollector reports whether this instance learns of changes from a collector. After
+// the start, it gives the collector the time of one silence to answer.
 func (ps *peers) followsCollector() bool {
+	listedAt := time.Duration(ps.listedAt.Load())
+	if listedAt == 0 {
+		// Whether the fleet is large is not known yet.
+		return bootTime()-ps.startedAt < listTimeout
+	}
 	if collector, self := ps.collector(); collector == "" || self {
 		return false
 	}
-	answeredAt := time.Duration(ps.collectorAnsweredAt.Load())
-	return answeredAt > 0 && bootTime()-answeredAt < maxFollowSilence
+	return bootTime()-max(time.Duration(ps.collectorAnsweredAt.Load()), listedAt) < maxFollowSilence
 }
 
 // followsForConfig reports whether this instance gets the configuration and its
--- a/pkg/gateway/tablespread_test.go
+++ b/pkg/gateway/tablespread_test.go
@@ -60,7 +60,12 @@
 func TestFollowerFetchesChangesFromItsCollector(t *testing.T) {
 	g := NewWithT(t)
 	collector, follower, server := collectorAndFollower(t)
-	g.Expect(follower.followsCollector()).To(BeFalse(), "the collector has not answered yet")
+	follower.startedAt = bootTime() - listTimeout
+	g.Expect(follower.followsCollector()).To(BeFalse(), "the instances have not been listed in time")
+	follower.noteListing(nil)
+	g.Expect(follower.followsCollector()).To(BeTrue(), "the collector has time to answer")
+	follower.listedAt.Store(int64(bootTime() - maxFollowSilence))
+	g.Expect(follower.followsCollector()).To(BeFalse(), "the collector has not answered")
 	exchangeWithCollector(follower, collector)
 	g.Expect(follower.gw.currentConfig.Load().revision).To(Equal(uint64(7)))
 	g.Expect(follower.gw.memberList.Load().revision).To(Equal(uint64(7)))
@@ -68,6 +73,7 @@
 	g.Expect(follower.gw.controller.members.UnlistedSince()).To(HaveKey("m5"))
 	g.Expect(follower.followsCollector()).To(BeTrue())
 	g.Expect(follower.followsForConfig()).To(BeTrue())
+	collector.noteListing(nil)
 	g.Expect(collector.followsCollector()).To(BeFalse(), "a collector follows the store")
 
 	server.Close()
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -35,10 +35,11 @@
 	// heartbeat. A change of primary or a failed member is detected sooner by
 	// other means.
 	membersBatchDelay = 2 * time.Second
-	// instancesListInterval is the interval between listings of the instances,
-	// and largeFleetInstancesListInterval in a large fleet. New instances
-	// contact the others themselves, and a collector names all of them.
-	instancesListInterval, largeFleetInstancesListInterval = 20 * time.Second, time.Minute
+	// instancesListInterval is the interval between listings of the instances. New
+	// instances contact the others themselves, and a collector names all of them.
+	// maxInstancesRetryDelay bounds the delay after a failed one.
+	instancesListInterval  = 20 * time.Second
+	maxInstancesRetryDelay = 6 * time.Second
 	// recoveryPollWait is the wait of the first poll after a failure. A poll
 	// sent while the store does not respond hangs until its timeout, even if
 	// the store recovers in the meantime.
@@ -343,20 +344,22 @@
 		g.log.WithField("event", "register").WithError(err).Warn("cannot register the instance; retrying")
 		sleep(ctx, maxStoreRetryDelay)
 	}
+	retry := maxStoreRetryDelay
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		batch, err := g.cfg.Store.Instances().List(callCtx)
 		cancel()
-		pause := instancesListInterval
-		if !g.peers.readsStore() {
-			pause = largeFleetInstancesListInterval
-		}
+		g.peers.noteListing(batch.Changes)
 		if err != nil {
 			g.log.WithFields(logrus.Fields{"event": "store-lost", "table": "instances"}).WithError(err).Warn("cannot list instances")
-			pause = maxStoreRetryDelay
-		} else {
-			g.peers.applyListing(batch.Changes)
+			sleep(ctx, retry)
+			retry = min(2*retry, maxInstancesRetryDelay)
+			continue
+		}
+		retry = maxStoreRetryDelay
+		sleep(ctx, instancesListInterval)
+		for ctx.Err() == nil && g.peers.followsCollector() {
+			sleep(ctx, followCheckInterval) // the collector names all instances
 		}
-		sleep(ctx, pause)
 	}
 }
