--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -38,6 +38,9 @@
 	// instancesListInterval is the interval between listings of the instances. New
 	// instances contact the others themselves, and a collector names all of them.
 	// maxInstancesRetryDelay bounds the delay after a failed one.
+	// firstListingDelay is the time between the registration and the first listing when
+	// the whole fleet starts for the first time; a listing without it shows few others.
+	firstListingDelay      = 500 * time.Millisecond
 	instancesListInterval  = 20 * time.Second
 	maxInstancesRetryDelay = 6 * time.Second
 	// recoveryPollWait is the wait of the first poll after a failure. A poll
@@ -344,6 +347,10 @@
 		g.log.WithField("event", "register").WithError(err).Warn("cannot register the instance; retrying")
 		sleep(ctx, maxStoreRetryDelay)
 	}
+	if g.cfg.FirstStart {
+		// All instances register at about the same time.
+		sleep(ctx, firstListingDelay)
+	}
 	retry := maxStoreRetryDelay
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
