Keep confirmations of an idle large fleet fresh, and ask peers for positions that reads lack

Every collector took each heartbeat of a starting member as a response of its own (366 calls), and instances relisted the members of groups that had yet to start (115). A read that found no recent position of the primary did not count as demand for one: an instance that could not reach the primary waited for its peers to exchange states by themselves (spec 'reads from replicas while the primary takes no further connection', failing since the first listing is delayed).

Change: collectors poll for 0.9 s and collect changes of members for 0.4 s; an instance that follows a collector leaves relisting to it; every bounded read asks for positions.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -17,9 +17,6 @@
 	started := time.Now()
 	defer func() { rec.connWait += time.Since(started) }()
 	p.mu.Lock()
-	if !req.needsPrimary {
-		p.lastRead = started
-	}
 	for {
 		now := time.Now()
 		if !now.Before(req.deadline) {
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -236,7 +236,8 @@
 
 // reportUnusableGroups reports each group that has had no usable member for longer than
 // an entry takes to come back after an outage of the store, and lists the members again:
-// the list may lack members that live.
+// the list may lack members that live. An instance that follows a collector leaves that to
+// the collector.
 func (c *controller) reportUnusableGroups(now time.Time) {
 	current := c.gw.currentConfig.Load()
 	if current == nil {
@@ -268,7 +269,7 @@
 			}
 			c.gw.log.WithFields(fields).Error("the group has no usable member; listing the members again")
 		}
-		if now.Sub(c.relistedAt) >= relistInterval {
+		if now.Sub(c.relistedAt) >= relistInterval && !c.gw.peers.followsCollector() {
 			c.relistedAt = now
 			c.gw.relistMembers.Store(true)
 			interruptPoll(c.gw.interruptMembersPoll)
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -282,9 +282,12 @@
 	return true
 }
 
-// floor returns a position that covers the commits acknowledged before since.
+// floor returns a position that covers the commits acknowledged before since, for a read.
 func (p *pool) floor(since time.Duration) (group.Position, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// Also a read that finds no floor asks for recent positions: an instance that cannot
+	// reach the primary gets them from its peers.
+	p.lastRead = time.Now()
 	return p.positionSamples.FloorSince(since)
 }
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -19,8 +19,8 @@
 	operatorsPollWait = 1500 * time.Millisecond
 	// collectorPollWait is the same for the collectors of a large fleet,
 	// whose confirmation reaches the other instances up to exchangeInterval
-	// later.
-	collectorPollWait = 1200 * time.Millisecond
+	// later. Two waits and that interval must fit into maxConfirmationAge.
+	collectorPollWait = 900 * time.Millisecond
 	// peerConfirmedPollWait is the same for an instance that gets its
 	// confirmations from a peer.
 	peerConfirmedPollWait = 25 * time.Second
@@ -35,6 +35,9 @@
 	// heartbeat. A change of primary or a failed member is detected sooner by
 	// other means.
 	membersBatchDelay = 2 * time.Second
+	// collectorMembersBatchDelay is the same for the collectors of a large fleet, from
+	// which the other instances learn of changes.
+	collectorMembersBatchDelay = 400 * time.Millisecond
 	// instancesListInterval is the interval between listings of the instances. New
 	// instances contact the others themselves, and a collector names all of them.
 	// maxInstancesRetryDelay bounds the delay after a failed one.
@@ -316,10 +319,14 @@
 		return largeFleetMembersPollWait
 	}
 	w.batchDelay = func() time.Duration {
-		if g.peers.readsStore() {
+		switch few, reads := g.peers.storeReaders(); {
+		case !few:
 			return 0
+		case reads:
+			return collectorMembersBatchDelay
+		default:
+			return membersBatchDelay
 		}
-		return membersBatchDelay
 	}
 	w.apply = func(batch Batch[Member], complete bool, _ time.Duration) {
 		for _, c := range batch.Changes {
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -185,3 +185,9 @@
 	g.Eventually(applied).Should(Receive(BeFalse()), "the response confirms the configuration")
 	g.Eventually(table.asked).Should(Receive(Equal(time.Minute)), "an interrupted poll is not a failure")
 }
+
+// With a longer wait, the confirmations of all instances of a large fleet were too old
+// every few seconds while it was idle, and each instance asked the store itself.
+func TestConfirmationsOfCollectorsArriveInTime(t *testing.T) {
+	NewWithT(t).Expect(2*collectorPollWait + exchangeInterval + peerTickInterval).To(BeNumerically("<", maxConfirmationAge))
+}
