Follow no collector that the store does not answer

Cause: an instance followed its zone's collector as long as that answered, also while the store turned the collector away: members that left in the meantime stayed in use in the whole zone, although its other instances reached the store.

Result: the test fails without the condition.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -80,6 +80,9 @@
 	// A value sent to these channels interrupts the long poll for the
 	// operators' entries or the members.
 	interruptOperatorsPoll, interruptMembersPoll chan struct{}
+	// storeAnsweredAt is when the last call was sent that the store answered, on the clock
+	// of bootTime; 0 for never.
+	storeAnsweredAt atomic.Int64
 	// relistMembers makes the watcher of the members list them again.
 	relistMembers atomic.Bool
 	// refusedStarts numbers the refused session starts.
--- a/pkg/gateway/tablespread.go
+++ b/pkg/gateway/tablespread.go
@@ -25,6 +25,11 @@
 	// followCheckInterval is the interval at which an instance that follows a collector
 	// checks whether it still does.
 	followCheckInterval = 250 * time.Millisecond
+	// maxStoreSilence is the time since a collector sent the last call that the store
+	// answered after which it offers no list of members: nobody is to follow it.
+	maxStoreSilence = 2*collectorPollWait + feedTimeoutMargin
+	// feedTimeoutMargin is about how long a lost poll outlasts its wait.
+	feedTimeoutMargin = 700 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration or a list from a peer, which may have to
 	// send it to all instances of its zone at the same time.
 	fetchTimeout = 2 * time.Second
@@ -91,6 +96,15 @@
 	return plain, err
 }
 
+// noteStoreAnswer records that the store answered a call sent at asked.
+func (g *Gateway) noteStoreAnswer(asked time.Duration) { g.storeAnsweredAt.Store(int64(asked)) }
+
+// hearsStore reports whether the store answers this instance.
+func (g *Gateway) hearsStore() bool {
+	at := time.Duration(g.storeAnsweredAt.Load())
+	return at > 0 && bootTime()-at < maxStoreSilence
+}
+
 // noteCollectorAnswer records that the collector of this instance's zone answered, and
 // fetches its list of members if it is newer.
 func (ps *peers) noteCollectorAnswer(p *peer, answer *pb.State) {
--- a/pkg/gateway/tablespread_test.go
+++ b/pkg/gateway/tablespread_test.go
@@ -40,6 +40,7 @@
 		ps.gw.confirmConfig(bootTime())
 		ps.gw.controller.applyMembers([]Change[Member]{listed("m1"), listed("m" + string(rune('0'+revision)))}, true, revision)
 	}
+	collector.gw.noteStoreAnswer(bootTime())
 	return collector, follower, server
 }
 
@@ -152,3 +153,20 @@
 	g.Eventually(table.asked).Should(Receive(Equal(recoveryPollWait)))
 	g.Eventually(applied).Should(Receive(BeFalse()))
 }
+
+// Instances followed a collector that the store had turned away, and did not see that
+// members left until it was served again.
+func TestNobodyFollowsACollectorWithoutTheStore(t *testing.T) {
+	g := NewWithT(t)
+	collector, follower, _ := collectorAndFollower(t)
+	follower.noteListing(nil)
+	collector.gw.noteStoreAnswer(bootTime())
+	exchangeWithCollector(follower, collector)
+	follower.listedAt.Store(int64(bootTime() - maxFollowSilence))
+	g.Expect(follower.followsCollector()).To(BeTrue())
+
+	collector.gw.noteStoreAnswer(bootTime() - maxStoreSilence)
+	follower.collectorAnsweredAt.Store(0)
+	exchangeWithCollector(follower, collector)
+	g.Expect(follower.followsCollector()).To(BeFalse())
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -211,6 +211,7 @@
 	// A longer poll for members sent during the outage may still hang.
 	w.onRecovered = func() { interruptPoll(g.interruptMembersPoll) }
 	w.apply = func(batch Batch[OperatorEntry], complete bool, asked time.Duration) {
+		g.noteStoreAnswer(asked)
 		if complete {
 			entries = map[string]OperatorEntry{}
 		}
