Let the test of a collector without the store reach it twice

The first version passed with the condition removed: its second exchange went to an address without a server. It fails now without the condition in Sync.

--- a/pkg/gateway/exchange_test.go
+++ b/pkg/gateway/exchange_test.go
@@ -106,7 +106,7 @@
 	entries[instances-1].Value.Capacity = 0.8
 	var out []*peers
 	for _, e := range entries {
-		gw := New(Config{ID: e.Key, Zone: e.Value.Zone, Capacity: e.Value.Capacity, FirstStart: true, Log: logrus.NewEntry(log)})
+		gw := New(Config{ID: e.Key, Zone: e.Value.Zone, PeerAddress: e.Value.PeerAddress, Capacity: e.Value.Capacity, FirstStart: true, Log: logrus.NewEntry(log)})
 		gw.started = 1
 		gw.limits.configure([]catalog.Workspace{{Name: "w", Rate: 0.001, Burst: 1000}})
 		gw.peers.applyListing(entries)
