--- a/pkg/gateway/tablespread.go
+++ b/pkg/gateway/follow.go
@@ -99,8 +99,8 @@
 // noteStoreAnswer records that the store answered a call sent at asked.
 func (g *Gateway) noteStoreAnswer(asked time.Duration) { g.storeAnsweredAt.Store(int64(asked)) }
 
-// hearsStore reports whether the store answers this instance.
-func (g *Gateway) hearsStore() bool {
+// storeAnswers reports whether the store has answered this instance recently.
+func (g *Gateway) storeAnswers() bool {
 	at := time.Duration(g.storeAnsweredAt.Load())
 	return at > 0 && bootTime()-at < maxStoreSilence
 }
--- a/pkg/gateway/peerservice.go
+++ b/pkg/gateway/peerservice.go
@@ -30,7 +30,7 @@
 		answer.Usages = usages(ps.gw.limits.reportSection(workspaces))
 		ps.fillAlive(answer, s)
 	case isCollector:
-		if list := ps.gw.memberList.Load(); list != nil && ps.gw.hearsStore() {
+		if list := ps.gw.memberList.Load(); list != nil && ps.gw.storeAnswers() {
 			answer.MembersRevision = list.revision
 		}
 		answer.Usages = usages(ps.gw.limits.reportOthers(s.Id+"/"+strconv.FormatInt(s.Started, 10), workspaces))
