List the instances at once also at the first start of a fleet

Cause: since an instance of a first start listed the others only after 0.5 s.

Change: the first listing is made at once; only the second one, 0.5 s later, decides whether the fleet is large.

--- a/pkg/gateway/controller_test.go
+++ b/pkg/gateway/controller_test.go
@@ -60,7 +60,7 @@
 func TestGroupWithoutUsableMemberIsListedAgain(t *testing.T) {
 	g := NewWithT(t)
 	gw := newTestInstance("a", nil)
-	gw.peers.noteListing(nil) // a small fleet
+	gw.peers.noteListing() // a small fleet
 	hook := logtest.NewLocal(gw.log.Logger)
 	gw.log.Logger.SetLevel(logrus.ErrorLevel)
 	gw.log.Logger.SetOutput(io.Discard)
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -63,7 +63,7 @@
 	collector, follower, server := collectorAndFollower(t)
 	follower.startedAt = bootTime() - listTimeout
 	g.Expect(follower.followsCollector()).To(BeFalse(), "the instances have not been listed in time")
-	follower.noteListing(nil)
+	follower.noteListing()
 	g.Expect(follower.followsCollector()).To(BeTrue(), "the collector has time to answer")
 	follower.listedAt.Store(int64(bootTime() - maxFollowSilence))
 	g.Expect(follower.followsCollector()).To(BeFalse(), "the collector has not answered")
@@ -74,7 +74,7 @@
 	g.Expect(follower.gw.controller.members.UnlistedSince()).To(HaveKey("m5"))
 	g.Expect(follower.followsCollector()).To(BeTrue())
 	g.Expect(follower.followsForConfig()).To(BeTrue())
-	collector.noteListing(nil)
+	collector.noteListing()
 	g.Expect(collector.followsCollector()).To(BeFalse(), "a collector follows the store")
 
 	server.Close()
@@ -159,7 +159,7 @@
 func TestNobodyFollowsACollectorWithoutTheStore(t *testing.T) {
 	g := NewWithT(t)
 	collector, follower, _ := collectorAndFollower(t)
-	follower.noteListing(nil)
+	follower.noteListing()
 	collector.gw.noteStoreAnswer(bootTime())
 	exchangeWithCollector(follower, collector)
 	follower.listedAt.Store(int64(bootTime() - maxFollowSilence))
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -114,12 +114,8 @@
 
 func (ps *peers) handler() http.Handler { return pb.NewGateServer(ps) }
 
-// noteListing records that the instances have been listed, or that this has failed, and
-// adds those that were listed.
-func (ps *peers) noteListing(entries []Change[Instance]) {
-	ps.applyListing(entries)
-	ps.listedAt.CompareAndSwap(0, int64(bootTime()))
-}
+// noteListing records that the instances have been listed, or that this has failed.
+func (ps *peers) noteListing() { ps.listedAt.CompareAndSwap(0, int64(bootTime())) }
 
 // applyListing adds the instances listed by the store.
 func (ps *peers) applyListing(entries []Change[Instance]) {
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -41,9 +41,9 @@
 	// instancesListInterval is the interval between listings of the instances. New
 	// instances contact the others themselves, and a collector names all of them.
 	// maxInstancesRetryDelay bounds the delay after a failed one.
-	// firstListingDelay is the time between the registration and the first listing when
-	// the whole fleet starts for the first time; a listing without it shows few others.
-	firstListingDelay      = 500 * time.Millisecond
+	// secondListingDelay is the time between the first two listings when the whole fleet
+	// starts for the first time: the first one shows few others.
+	secondListingDelay     = 500 * time.Millisecond
 	instancesListInterval  = 20 * time.Second
 	maxInstancesRetryDelay = 6 * time.Second
 	// recoveryPollWait is the wait of the first poll after a failure. A poll
@@ -355,16 +355,20 @@
 		g.log.WithField("event", "register").WithError(err).Warn("cannot register the instance; retrying")
 		sleep(ctx, maxStoreRetryDelay)
 	}
-	if g.cfg.FirstStart {
-		// All instances register at about the same time.
-		sleep(ctx, firstListingDelay)
-	}
 	retry := maxStoreRetryDelay
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		batch, err := g.cfg.Store.Instances().List(callCtx)
 		cancel()
-		g.peers.noteListing(batch.Changes)
+		g.peers.applyListing(batch.Changes)
+		if first && err == nil && g.cfg.FirstStart {
+			// All instances register at about the same time. What this listing shows is
+			// used, since an instance that knows no other admits whole limits; whether the
+			// fleet is large is known after the next one.
+			sleep(ctx, secondListingDelay)
+			continue
+		}
+		g.peers.noteListing()
 		if err != nil {
 			g.log.WithFields(logrus.Fields{"event": "store-lost", "table": "instances"}).WithError(err).Warn("cannot list instances")
 			sleep(ctx, retry)
