--- a/core/quota/large_fleet_test.go
+++ b/core/quota/large_fleet_test.go
@@ -331,5 +331,7 @@
 	f := newFleet(100, tolerance.Widen(limit))
 	f.run(30*time.Second, evenRates(100, 100))
 	g.Expect(f.maxAdmittedInWindow()).To(BeNumerically("<=", maxToleratedInWindow(limit)))
+	large := quota.Limit{Rate: 125, Burst: 125}
+	g.Expect(tolerance.Widen(large)).To(Equal(large), "a hot workspace on 62 instances got 870 operations of 845 tolerated in 5 s with a widened limit")
 	g.Expect(tolerance.Widen(quota.Limit{})).To(Equal(quota.Limit{}), "no limit stays no limit")
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -70,9 +70,16 @@
 	Slack   float64
 }
 
-// toleranceShare is the part of the tolerance that is used as additional burst. The rest
-// covers what instances admit before they hear of each other's admissions.
-const toleranceShare = 0.5
+const (
+	// toleranceShare is the part of the tolerance that is used as additional burst of the
+	// smallest limits. The rest covers what instances admit before they hear of each
+	// other's admissions.
+	toleranceShare = 0.5
+	// maxWidenedBurst times the slack is the burst from which on a limit is not widened.
+	// What is admitted unknown to others grows with the limit and takes all of the
+	// tolerance, while an instance's share of a large limit is rarely below one operation.
+	maxWidenedBurst = 5
+)
 
 // Widen returns the limit to enforce. Instances that know of each other's admissions only
 // from reports cannot enforce a limit exactly; without the additional burst they refuse
@@ -81,7 +88,10 @@
 	if l.Rate <= 0 && l.Burst <= 0 {
 		return l
 	}
-	l.Burst += toleranceShare * (t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack)
+	if t.Slack > 0 {
+		share := toleranceShare * max(0, 1-l.Burst/(maxWidenedBurst*t.Slack))
+		l.Burst += share * (t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack)
+	}
 	return l
 }
 
