Bring the parts of a zone back together after its collector restarted

Cause: an instance hears of others only through its collector, and a collector names those that report to it.

Change: each instance asks, one a second, those that rank before its collector among all that it knows; once one answers, it is the collector again.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -109,6 +109,12 @@
 	// peers.
 	ps.exchangeAll(ctx, dueConfirm, workspaceSet{})
 	ps.exchangeSections(ctx, dueSection, now)
+	if collector != "" && now.Sub(ps.preferredAskedAt) >= exchangeInterval {
+		ps.preferredAskedAt = now
+		if p := ps.preferredCollector(collector); p != nil {
+			ps.exchangeAll(ctx, []*peer{p}, workspaceSet{})
+		}
+	}
 }
 
 // exchangeSections asks the collectors of other zones for their sections.
--- a/pkg/gateway/exchange_test.go
+++ b/pkg/gateway/exchange_test.go
@@ -209,3 +209,65 @@
 	g.Expect(answer.Usages).To(BeEmpty())
 	g.Expect(answer.Partial).To(BeTrue())
 }
+
+// An instance that had heard of only one instance of another zone took it for the zone's
+// collector, and kept to it although it was none: it named no others. During a rolling
+// restart of 62 instances the collectors counted 34 to 60 of them, and limits were exceeded.
+func TestInstanceThatIsNoCollectorNamesItsZone(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(t, 24, 3)
+	for range 2 {
+		exchangeRound(t, fleet)
+	}
+	collector, _ := fleet[0].collector()
+	asker := byID(fleet, fleet[0].otherCollectors()[0])
+	var plain string
+	asker.mu.Lock()
+	for id, p := range asker.byID {
+		if p.Zone != fleet[0].gw.cfg.Zone {
+			continue
+		}
+		if id != collector && plain == "" {
+			plain = id
+			continue
+		}
+		p.lastHeard, p.addedAt = p.lastHeard.Add(-2*peerAliveTimeout), p.addedAt.Add(-2*peerAliveTimeout)
+	}
+	asker.fleet.outdated = true
+	asker.mu.Unlock()
+	g.Expect(asker.otherCollectors()).To(ContainElement(plain))
+	exchangeRound(t, fleet)
+	g.Expect(asker.otherCollectors()).To(ContainElement(collector))
+	g.Expect(asker.otherCollectors()).NotTo(ContainElement(plain))
+}
+
+// After its collector had restarted, a zone fell into parts that each had a collector of
+// their own: a collector names only those that report to it, so nobody heard of the other
+// part again. During a rolling restart of 62 instances they counted 34 to 60 of them, and
+// each part admitted more than its share.
+func TestPartsOfAZoneFindEachOther(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(t, 24, 3)
+	for range 2 {
+		exchangeRound(t, fleet)
+	}
+	preferred, _ := fleet[0].collector()
+	ps := fleet[0]
+	if preferred == ps.gw.cfg.ID {
+		ps = fleet[3]
+	}
+	g.Expect(ps.preferredCollector(preferred)).To(BeNil(), "the collector is the preferred one")
+	ps.mu.Lock()
+	p := ps.byID[preferred]
+	p.lastHeard, p.addedAt = p.lastHeard.Add(-2*peerAliveTimeout), p.addedAt.Add(-2*peerAliveTimeout)
+	ps.fleet.outdated = true
+	ps.mu.Unlock()
+	substitute, _ := ps.collector()
+	g.Expect(substitute).NotTo(Equal(preferred))
+	g.Expect(ps.preferredCollector(substitute).ID).To(Equal(preferred), "the preferred one is asked although nobody names it")
+	answer, err := byID(fleet, preferred).Sync(context.Background(), ps.localState(workspaceSet{}))
+	g.Expect(err).NotTo(HaveOccurred())
+	ps.observeState(answer)
+	collector, _ := ps.collector()
+	g.Expect(collector).To(Equal(preferred))
+}
--- a/pkg/gateway/fleetview.go
+++ b/pkg/gateway/fleetview.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -76,23 +77,31 @@
 // zoneCollector returns the collector of the zone, which is one of its instances with the
 // most capacity, or "" if the zone has no instance.
 func (v *fleetView) zoneCollector(zone string) string {
-	chosen := v.cached("collector\x00"+zone, func() []string {
-		var largest []membership.Instance
+	ranking := v.collectorRanking(zone)
+	if len(ranking) == 0 {
+		return ""
+	}
+	return ranking[0]
+}
+
+// collectorRanking returns the instances of the zone in the order in which they become its
+// collector: by capacity, and by rendezvous hashing among those with the same. The caller
+// must not modify it.
+func (v *fleetView) collectorRanking(zone string) []string {
+	return v.cached("collector\x00"+zone, func() []string {
+		byCapacity := map[float64][]membership.Instance{}
 		for _, i := range v.instances {
-			if i.Zone != zone || (len(largest) > 0 && i.Weight < largest[0].Weight) {
-				continue
+			if i.Zone == zone {
+				byCapacity[i.Weight] = append(byCapacity[i.Weight], i)
 			}
-			if len(largest) > 0 && i.Weight > largest[0].Weight {
-				largest = nil
-			}
-			largest = append(largest, i)
 		}
-		return chooseInstances("exchange", 1, largest)
+		var ranking []string
+		for _, capacity := range slices.Backward(slices.Sorted(maps.Keys(byCapacity))) {
+			same := byCapacity[capacity]
+			ranking = append(ranking, chooseInstances("exchange", len(same), same)...)
+		}
+		return ranking
 	})
-	if len(chosen) == 0 {
-		return ""
-	}
-	return chosen[0]
 }
 
 // cached returns the kept choice, or makes and keeps it.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -84,6 +84,10 @@
 	// run uses them.
 	lastInterrupt time.Time
 	lastCollector string
+	// preferredAskedAt is when the last instance that ranks before the collector was
+	// asked, and preferredTurn counts them. Only run uses them.
+	preferredAskedAt time.Time
+	preferredTurn    int
 	// collectorAnsweredAt is when the collector of this zone last answered, on the clock
 	// of bootTime; 0 for never.
 	collectorAnsweredAt atomic.Int64
@@ -257,6 +261,23 @@
 	return id, id == ps.gw.cfg.ID
 }
 
+// preferredCollector returns, in turn, one of the instances that rank before the collector
+// of this zone among all that are known, or nil if there is none. They are not heard of:
+// they have stopped, or are in touch with other instances of the zone only. Only run
+// calls it.
+func (ps *peers) preferredCollector(collector string) *peer {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	known := newFleetView(ps.selectInstances(func(p *peer, _ time.Time) bool { return p.Zone == ps.gw.cfg.Zone && !p.leaving }))
+	ranking := known.collectorRanking(ps.gw.cfg.Zone)
+	before := slices.Index(ranking, collector)
+	if before <= 0 {
+		return nil
+	}
+	ps.preferredTurn++
+	return ps.byID[ranking[ps.preferredTurn%before]]
+}
+
 // otherCollectors returns the collectors of the other zones.
 func (ps *peers) otherCollectors() []string {
 	view := ps.collectorView()
--- a/pkg/gateway/peerservice.go
+++ b/pkg/gateway/peerservice.go
@@ -24,33 +24,36 @@
 		}
 	}
 	answer := ps.localState(workspaces)
-	switch _, isCollector := ps.collector(); {
+	switch collector, isCollector := ps.collector(); {
 	case isCollector && s.SectionOnly:
 		answer.Section = answer.Zone
 		answer.Usages = usages(ps.gw.limits.reportSection(workspaces))
-		ps.fillAlive(answer, s)
+		ps.fillAlive(answer, s, answer.Zone)
 	case isCollector:
 		if list := ps.gw.memberList.Load(); list != nil && ps.gw.storeAnswers() {
 			answer.MembersRevision = list.revision
 		}
 		answer.Usages = usages(ps.gw.limits.reportOthers(s.Id+"/"+strconv.FormatInt(s.Started, 10), workspaces))
-		ps.fillAlive(answer, s)
-	case s.SectionOnly:
-		// The asker takes this instance for a collector. Its own usages reach the asker
-		// through the actual one.
+		ps.fillAlive(answer, s, "")
+	case collector != "":
+		// The asker takes this instance for the collector of its zone, perhaps because it
+		// has heard of no other there. Told of them, it finds the actual collector, through
+		// which the usages of this instance reach it.
 		answer.Usages, answer.Partial = nil, true
+		ps.fillAlive(answer, s, answer.Zone)
 	}
 	return answer, nil
 }
 
-// fillAlive adds the live instances that the answer covers, unless the asker has them.
-func (ps *peers) fillAlive(answer, asker *pb.State) {
+// fillAlive adds the live instances of a zone, or of all zones if it is empty, unless the
+// asker has them.
+func (ps *peers) fillAlive(answer, asker *pb.State, zone string) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := time.Now()
 	var alive []*pb.Member
 	for _, p := range ps.byID {
-		if p.alive(now) && !p.lastHeard.IsZero() && (answer.Section == "" || p.Zone == answer.Section) {
+		if p.alive(now) && !p.lastHeard.IsZero() && (zone == "" || p.Zone == zone) {
 			alive = append(alive, &pb.Member{Id: p.ID, Zone: p.Zone, Address: p.PeerAddress, Started: p.Started, Capacity: p.Capacity})
 			// A sum is independent of the iteration order.
 			answer.AliveDigest += maphash.Comparable(ps.digestSeed, p.Instance)
