Find instances again after a long partition

Cause: a collector asked only zones of which it heard an instance, so that after a partition of 2.5 s and more between equal halves of a large fleet no side asked the other. Instances that were silent for 30 s lost their entry and never registered again: after a longer partition nobody knew the other side.

Change: a collector asks the known instances of a silent zone in turn; an instance that does not find its own entry in a listing registers again, unless it is leaving.

Result: both specs fail before (the second one on the loop without the call).

--- a/pkg/gateway/exchange_test.go
+++ b/pkg/gateway/exchange_test.go
@@ -271,3 +271,31 @@
 	collector, _ := ps.collector()
 	g.Expect(collector).To(Equal(preferred))
 }
+
+// When the network had been divided for longer than an instance counts as alive, no
+// collector asked another one across the former division: the zones beyond it were not in
+// its list any more.
+func TestZonesFindEachOtherAfterAPartition(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(t, 24, 2)
+	for range 2 {
+		exchangeRound(t, fleet)
+	}
+	for _, ps := range fleet {
+		ps.mu.Lock()
+		for _, p := range ps.byID {
+			if p.Zone != ps.gw.cfg.Zone {
+				p.lastHeard, p.addedAt = p.lastHeard.Add(-2*peerAliveTimeout), p.addedAt.Add(-2*peerAliveTimeout)
+			}
+		}
+		ps.fleet.outdated = true
+		ps.mu.Unlock()
+		g.Expect(ps.liveInstances().instances).To(HaveLen(12))
+	}
+	for range 3 {
+		exchangeRound(t, fleet)
+	}
+	for _, ps := range fleet {
+		g.Expect(ps.liveInstances().instances).To(HaveLen(24), ps.gw.cfg.ID)
+	}
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -44,6 +44,9 @@
 	// of a large fleet asks if neither the store nor the collector
 	// confirms the configuration.
 	largeFleetConfirmers = 3
+	// silentZoneInterval is how long a collector asks the same instance of a zone of which
+	// it hears none.
+	silentZoneInterval = time.Second
 	// peerTickInterval is the interval between checks for due exchanges.
 	peerTickInterval = 100 * time.Millisecond
 )
@@ -278,17 +281,29 @@
 	return ps.byID[ranking[ps.preferredTurn%before]]
 }
 
-// otherCollectors returns the collectors of the other zones.
+// otherCollectors returns the collectors of the other zones. Of a zone of which no instance
+// is heard, as after a network partition, it returns one of those that are known, in turn:
+// nobody else would ask them.
 func (ps *peers) otherCollectors() []string {
 	view := ps.collectorView()
 	if view == nil {
 		return nil
 	}
+	ps.mu.Lock()
+	known := newFleetView(ps.selectInstances(func(p *peer, _ time.Time) bool { return !p.leaving }))
+	ps.mu.Unlock()
 	var out []string
-	for _, zone := range view.zones() {
-		if zone != ps.gw.cfg.Zone {
-			out = append(out, view.zoneCollector(zone))
+	for _, zone := range known.zones() {
+		if zone == ps.gw.cfg.Zone {
+			continue
+		}
+		collector := view.zoneCollector(zone)
+		if collector == "" {
+			ranking := known.collectorRanking(zone)
+			turn := int(bootTime()/silentZoneInterval) % len(ranking)
+			collector = ranking[turn]
 		}
+		out = append(out, collector)
 	}
 	return out
 }
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -342,17 +343,20 @@
 	w.run(ctx)
 }
 
+// register writes this instance's entry and reports whether that succeeded.
+func (g *Gateway) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	err := g.cfg.Store.PutInstance(ctx, Instance{ID: g.cfg.ID, Zone: g.cfg.Zone, PeerAddress: g.cfg.PeerAddress, Started: g.started, Capacity: g.cfg.Capacity})
+	if err != nil {
+		g.log.WithField("event", "register").WithError(err).Warn("cannot register the instance; retrying")
+	}
+	return err == nil
+}
+
 // watchInstances registers this instance and periodically lists all instances.
 func (g *Gateway) watchInstances(ctx context.Context) {
-	self := Instance{ID: g.cfg.ID, Zone: g.cfg.Zone, PeerAddress: g.cfg.PeerAddress, Started: g.started, Capacity: g.cfg.Capacity}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		err := g.cfg.Store.PutInstance(callCtx, self)
-		cancel()
-		if err == nil {
-			break
-		}
-		g.log.WithField("event", "register").WithError(err).Warn("cannot register the instance; retrying")
+	for ctx.Err() == nil && !g.register(ctx) {
 		sleep(ctx, maxStoreRetryDelay)
 	}
 	retry := maxStoreRetryDelay
@@ -361,6 +365,10 @@
 		batch, err := g.cfg.Store.Instances().List(callCtx)
 		cancel()
 		g.peers.applyListing(batch.Changes)
+		if err == nil && !g.draining.Load() && !slices.ContainsFunc(batch.Changes, func(c Change[Instance]) bool { return c.Key == g.cfg.ID }) {
+			// The others took this instance for lost, for example during a partition.
+			g.register(ctx)
+		}
 		if first && err == nil && g.cfg.FirstStart {
 			// All instances register at about the same time. What this listing shows is
 			// used, since an instance that knows no other admits whole limits; whether the
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -191,3 +191,42 @@
 func TestConfirmationsOfCollectorsArriveInTime(t *testing.T) {
 	NewWithT(t).Expect(2*collectorPollWait + exchangeInterval + peerTickInterval).To(BeNumerically("<", maxConfirmationAge))
 }
+
+// registryStore counts the registrations of an instance and lists none.
+type registryStore struct {
+	Store
+	registered atomic.Int64
+}
+
+func (s *registryStore) PutInstance(context.Context, Instance) error {
+	s.registered.Add(1)
+	return nil
+}
+
+func (s *registryStore) Instances() Table[Instance] { return emptyTable{} }
+
+type emptyTable struct{}
+
+func (emptyTable) List(context.Context) (Batch[Instance], error) { return Batch[Instance]{}, nil }
+
+func (emptyTable) Await(context.Context, uint64, time.Duration) (Batch[Instance], error) {
+	return Batch[Instance]{}, nil
+}
+
+// The others remove the entry of an instance that is silent for 30 s. It registered only at
+// its start, so that after a longer partition the two sides did not find each other.
+func TestInstanceRegistersAgainWhenItsEntryIsGone(t *testing.T) {
+	g := NewWithT(t)
+	store := &registryStore{}
+	gw := newTestInstance("a", store)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go gw.watchInstances(ctx)
+	g.Eventually(store.registered.Load, 5*time.Second).Should(BeNumerically(">=", 2))
+
+	leaving := &registryStore{}
+	gw = newTestInstance("b", leaving)
+	gw.draining.Store(true)
+	go gw.watchInstances(ctx)
+	g.Consistently(leaving.registered.Load, 2*secondListingDelay).Should(BeNumerically("<=", 1), "an instance that leaves has removed its entry")
+}
