Log the era and the newest version of what is read from the store

The logs could not tell a version given out twice from one given out once, nor show that a configuration was read and not installed. Listings and answers of another era get a line with the store's own figures beside the known ones; a configuration that is not installed gets one too. No logic is changed.

--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -124,6 +124,8 @@
 type Batch[T any] struct {
 	Changes  []Change[T]
 	Revision uint64
+	// Era is the era of the store that sent the batch.
+	Era uint64
 }
 
 // ErrHistoryLost is returned by Table.Await when the store no longer keeps the
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -89,7 +89,7 @@
 
 // run follows the table until ctx is done.
 func (w *watcher[T]) run(ctx context.Context) {
-	var revision uint64
+	var revision, era uint64
 	listed := false
 	retry := minStoreRetryDelay
 	for ctx.Err() == nil {
@@ -109,6 +109,13 @@
 		case err == nil:
 			w.noteSuccess()
 			retry = minStoreRetryDelay
+			if !listed || batch.Era != era {
+				w.log.WithFields(logrus.Fields{
+					"event": "table-read", "table": w.name, "era": batch.Era, "revision": batch.Revision, "listed": !listed,
+					"entries": len(batch.Changes), "newest": newestChange(batch.Changes), "knownEra": era, "knownRevision": revision,
+				}).Info("read a table of the store")
+			}
+			era = batch.Era
 			w.apply(batch, !listed, asked)
 			revision, listed = max(revision, batch.Revision), true
 			if w.batchDelay != nil && len(batch.Changes) > 0 {
@@ -128,6 +135,15 @@
 	}
 }
 
+// newestChange returns the version of the last change among the changes.
+func newestChange[T any](changes []Change[T]) uint64 {
+	var newest uint64
+	for i := range changes {
+		newest = max(newest, changes[i].Version)
+	}
+	return newest
+}
+
 // awaitInterrupt waits for d or until the watcher is interrupted.
 func (w *watcher[T]) awaitInterrupt(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -266,6 +282,10 @@
 	for {
 		current := g.currentConfig.Load()
 		if current != nil && (current.revision > next.revision || current.catalog.Version() > c.Version()) {
+			g.log.WithFields(logrus.Fields{
+				"event": "configuration-kept", "version": current.catalog.Version(), "revision": current.revision,
+				"readVersion": c.Version(), "readRevision": next.revision,
+			}).Info("an older configuration was read; keeping the newer one")
 			return
 		}
 		if g.currentConfig.CompareAndSwap(current, next) {
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -48,11 +48,9 @@
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	recoveries := 0
 	w := watcher[int]{
-		name: "test", table: &scriptedTable{script: []error{nil, errors.New("silent"), nil, nil}, done: cancel}, log: logrus.NewEntry(log),
+		name: "test", table: &scriptedTable{script: []error{nil, errors.New("silent"), nil, nil}, done: cancel}, log: silentLog(),
 		pollWait: func() time.Duration { return time.Minute }, onRecovered: func() { recoveries++ },
 	}
 	w.apply = func(Batch[int], bool, time.Duration) {}
@@ -60,14 +58,18 @@
 	g.Expect(recoveries).To(Equal(1))
 }
 
+func silentLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
 func watch(script ...error) (*scriptedTable, int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	table := &scriptedTable{script: script, done: cancel}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	applied := 0
-	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, log: logrus.NewEntry(log)}
+	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, log: silentLog()}
 	w.apply = func(Batch[int], bool, time.Duration) { applied++ }
 	w.run(ctx)
 	return table, applied
@@ -99,7 +101,7 @@
 	interrupt := make(chan struct{})
 	var relist atomic.Bool
 	applied := make(chan bool, 10)
-	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt, relist: &relist}
+	w := watcher[int]{name: "test", table: table, log: silentLog(), pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt, relist: &relist}
 	w.apply = func(_ Batch[int], complete bool, _ time.Duration) { applied <- complete }
 	go w.run(ctx)
 	g.Eventually(applied).Should(Receive(BeTrue()))
@@ -118,7 +120,7 @@
 	defer cancel()
 	table := &changingTable{changes: 3, done: cancel}
 	delays := 0
-	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }}
+	w := watcher[int]{name: "test", table: table, log: silentLog(), pollWait: func() time.Duration { return time.Minute }}
 	w.batchDelay = func() time.Duration { delays++; return 0 }
 	w.apply = func(Batch[int], bool, time.Duration) {}
 	w.run(ctx)
@@ -174,7 +176,7 @@
 	table := &hangingTable{waiting: make(chan struct{}), asked: make(chan time.Duration, 1)}
 	interrupt := make(chan struct{})
 	applied := make(chan bool, 10)
-	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt}
+	w := watcher[int]{name: "test", table: table, log: silentLog(), pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt}
 	w.apply = func(_ Batch[int], complete bool, _ time.Duration) { applied <- complete }
 	go w.run(ctx)
 	g.Eventually(applied).Should(Receive(BeTrue()))
