Compare versions of the store only within one era

Cause: an instance kept the highest version that it had seen. The restored store gives versions out again, so the instance asked for changes after a version that the store did not have (410, list, 410, ...), and once the store's counter had passed it, changes written below it were skipped. The same comparison decided which configuration or list of members of a peer is newer. Quieter forms: a feed in the new era that gets no 410, pages of a listing from two eras, an answer of the former era that arrives late.

Change: a revision is an era and a version, ordered by era. Tables are listed again when the era changes, whichever watcher or peer notices it. An instance that starts meanwhile takes configuration and confirmation from a peer, or waits. In the first era revisions equal versions, so that old builds understand them.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -13,6 +13,7 @@
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/membership"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
@@ -161,16 +162,16 @@
 
 // applyFetchedMembers applies the complete list of a peer unless this instance has a
 // newer one.
-func (c *controller) applyFetchedMembers(list []Change[Member], revision uint64) {
-	if known := c.gw.memberList.Load(); known == nil || known.revision < revision {
-		c.applyMembers(list, true, revision)
+func (c *controller) applyFetchedMembers(list []Change[Member], at revision.Revision) {
+	if known := c.gw.memberList.Load(); known == nil || known.revision < at {
+		c.applyMembers(list, true, at)
 	}
 }
 
 // applyMembers applies the list of members, or changes to it, as of a revision of the
 // table. It ignores those of the store that are older than a list fetched from a peer.
-func (c *controller) applyMembers(changes []Change[Member], complete bool, revision uint64) {
-	if known := c.gw.memberList.Load(); known != nil && revision > 0 && revision < known.revision {
+func (c *controller) applyMembers(changes []Change[Member], complete bool, at revision.Revision) {
+	if known := c.gw.memberList.Load(); known != nil && at > 0 && at < known.revision {
 		return
 	}
 	entries := make([]membership.ListingChange[Member], len(changes))
@@ -178,8 +179,8 @@
 		entries[i] = membership.ListingChange[Member]{Key: changes[i].Key, Value: changes[i].Value, Absent: changes[i].Removed || changes[i].Err != nil}
 	}
 	c.members.Apply(time.Now(), entries, complete)
-	if known := c.gw.memberList.Load(); known == nil || revision > known.revision {
-		c.gw.memberList.Store(&memberList{members: c.members.Listed(), revision: revision})
+	if known := c.gw.memberList.Load(); known == nil || at > known.revision {
+		c.gw.memberList.Store(&memberList{members: c.members.Listed(), revision: at})
 	}
 	c.updatePools()
 }
@@ -215,7 +216,7 @@
 			maxConnections = g.MaxConnections
 		}
 		set := instances.servingSet(name, maxConnections)
-		p.updateMembers(members, c.members.UnlistedSince(), current.outOfServiceZones, maxConnections, len(set), slices.Contains(set, c.gw.cfg.ID))
+		p.updateMembers(members, c.members.UnlistedSince(), current.IsOutOfService, maxConnections, len(set), slices.Contains(set, c.gw.cfg.ID))
 	}
 }
 
@@ -366,7 +367,7 @@
 	for i := range members {
 		m := &members[i]
 		candidate := promotion.Member{
-			ID: m.ID, Zone: m.Zone, Leaving: m.Draining, OutOfService: current != nil && current.outOfServiceZones[m.Zone],
+			ID: m.ID, Zone: m.Zone, Leaving: m.Draining, OutOfService: current != nil && current.IsOutOfService(m.Zone),
 		}
 		if !m.unlistedSince.IsZero() {
 			candidate.UnlistedFor = max(now.Sub(m.unlistedSince), 1)
--- a/pkg/gateway/controller_test.go
+++ b/pkg/gateway/controller_test.go
@@ -64,7 +64,7 @@
 	hook := logtest.NewLocal(gw.log.Logger)
 	gw.log.Logger.SetLevel(logrus.ErrorLevel)
 	gw.log.Logger.SetOutput(io.Discard)
-	gw.installConfiguration(&configuration{spec: &catalog.Spec{Version: 1, Groups: []catalog.Group{{Name: "g", MaxConnections: 10}}}})
+	gw.installConfiguration(catalog.Entries{Spec: &catalog.Spec{Version: 1, Groups: []catalog.Group{{Name: "g", MaxConnections: 10}}}})
 	c := gw.controller
 	c.applyMemberChanges([]Change[Member]{listed("m1")}, true)
 	now := time.Now()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/quota"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
@@ -42,7 +43,7 @@
 	ps.startLimitPeriods(now, near)
 	age, known := ps.gw.configLeaseAge()
 	askAll := !known || needsConfirmation(age)
-	if known && askAll && now.Sub(ps.lastInterrupt) >= time.Second {
+	if known && askAll && ps.gw.eras.settled() && now.Sub(ps.lastInterrupt) >= time.Second {
 		ps.lastInterrupt = now
 		interruptPoll(ps.gw.interruptOperatorsPoll)
 	}
@@ -188,44 +189,65 @@
 }
 
 // adoptConfirmation adopts the peer's confirmation that its configuration is
-// current. While the store does not respond, it also fetches a newer
-// configuration from the peer. asked is when the exchange was sent.
+// current. While the store does not respond, or may have lost the newest
+// configuration, it also fetches a newer one from the peer. asked is when the
+// exchange was sent.
 func (ps *peers) adoptConfirmation(p *peer, answer *pb.State, asked time.Duration) {
 	age, known := ps.gw.configLeaseAge()
 	current := ps.gw.currentConfig.Load()
 	if answer.AgeMs < 0 {
 		return
 	}
-	if current == nil || current.revision < answer.Revision {
+	settled := ps.gw.eras.settled()
+	if current == nil || current.IsBefore(answer.ConfigVersion, revision.Revision(answer.Revision)) || (!known && !settled) {
 		collector, _ := ps.collector()
-		if known && !needsConfirmation(age) && collector != p.ID {
+		if known && settled && !needsConfirmation(age) && collector != p.ID {
 			return // the store sends this configuration here at the same time
 		}
 		asked = bootTime()
-		revision, fetchedAge, ok := ps.fetchConfiguration(p)
-		if !ok {
+		fetched := ps.fetchConfiguration(p)
+		if fetched == nil {
 			return
 		}
-		answer = &pb.State{Revision: revision, AgeMs: fetchedAge.Milliseconds()}
+		answer = &pb.State{Revision: fetched.Revision, ConfigVersion: fetched.ConfigVersion, AgeMs: fetched.AgeMs}
 		current = ps.gw.currentConfig.Load()
 	}
-	if current != nil && current.revision == answer.Revision {
-		ps.gw.confirmConfig(asked - time.Duration(answer.AgeMs)*time.Millisecond)
+	if current != nil && current.isConfirmedBy(answer) {
+		confirmedAt := asked - time.Duration(answer.AgeMs)*time.Millisecond
+		ps.gw.confirmConfig(confirmedAt)
+		if ps.gw.eras.settledAt(confirmedAt) {
+			ps.gw.releaseHeldZones()
+		}
+	}
+}
+
+// isConfirmedBy reports whether a peer's confirmation covers this configuration. Peers
+// whose builds do not know of eras report no version.
+func (c *configuration) isConfirmedBy(state *pb.State) bool {
+	if state.ConfigVersion == 0 {
+		return c.Revision == revision.Revision(state.Revision)
 	}
+	return c.Version() == state.ConfigVersion
 }
 
 // fetchedEntries is the encoding of a configuration between instances.
 type fetchedEntries struct {
-	Spec     *catalog.Spec
-	ZonesOut []string
+	Spec *catalog.Spec
+	// ZonesOut includes HeldZones, for builds that do not know the latter.
+	ZonesOut  []string
+	HeldZones []string `json:",omitempty"`
 }
 
-func (e fetchedEntries) configuration(revision uint64) *configuration {
-	c := &configuration{spec: e.Spec, outOfServiceZones: map[string]bool{}, revision: revision}
+func (e fetchedEntries) decode(at revision.Revision) catalog.Entries {
+	out := catalog.Entries{Spec: e.Spec, ZonesOut: map[string]bool{}, HeldZones: map[string]bool{}, Revision: at}
 	for _, z := range e.ZonesOut {
-		c.outOfServiceZones[z] = true
+		out.ZonesOut[z] = true
+	}
+	for _, z := range e.HeldZones {
+		delete(out.ZonesOut, z)
+		out.HeldZones[z] = true
 	}
-	return c
+	return out
 }
 
 // localState returns the state of this instance, with its usage of the given
@@ -249,11 +271,13 @@
 		DutyHolder: duty.Holder, DutyStarted: duty.Started, DutyToken: duty.Token, AgeMs: -1, Capacity: g.cfg.Capacity,
 	}
 	if c := g.currentConfig.Load(); c != nil {
-		s.Revision = c.revision
+		s.Revision, s.ConfigVersion = uint64(c.Revision), c.Version()
 		if age, known := g.configLeaseAge(); known {
 			s.AgeMs = age.Milliseconds() + 1
 		}
 	}
+	era, eraAge := g.eras.knownFor()
+	s.StoreEra, s.StoreEraAgeMs = era, eraAge.Milliseconds()
 	g.limits.setInstances(live, isolated)
 	s.Usages, s.Partial = usages(g.limits.report(workspaces)), workspaces != nil
 	g.forEachPool(func(p *pool) {
@@ -278,6 +302,7 @@
 		return
 	}
 	instances := ps.observeAlive(s)
+	ps.gw.observePeerEra(s.StoreEra, time.Duration(s.StoreEraAgeMs)*time.Millisecond)
 	ps.updateDuty(Duty{Holder: s.DutyHolder, Started: s.DutyStarted, Token: s.DutyToken})
 	if !s.SectionOnly {
 		ps.observeUsages(s, instances)
--- a/pkg/gateway/fleet_bench_test.go
+++ b/pkg/gateway/fleet_bench_test.go
@@ -23,7 +23,7 @@
 			members = append(members, Change[Member]{Key: id, Value: Member{ID: id, Group: name, Zone: fmt.Sprint(k), Slots: 3}})
 		}
 	}
-	gw.installConfiguration(&configuration{spec: spec})
+	gw.installConfiguration(catalog.Entries{Spec: spec})
 	gw.peers.mu.Lock()
 	for n := 1; n < instances; n++ {
 		id := fmt.Sprintf("entry-%03d", n)
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
@@ -75,10 +76,13 @@
 // encode returns the configuration in the form of FetchCatalog.
 func (c *configuration) encode() (plain, compressed []byte, err error) {
 	return c.encoded.encode(func() any {
-		e := fetchedEntries{Spec: c.spec}
-		for z := range c.outOfServiceZones {
+		e := fetchedEntries{Spec: c.Spec}
+		for z := range c.ZonesOut {
 			e.ZonesOut = append(e.ZonesOut, z)
 		}
+		for z := range c.HeldZones {
+			e.ZonesOut, e.HeldZones = append(e.ZonesOut, z), append(e.HeldZones, z)
+		}
 		return e
 	})
 }
@@ -86,7 +90,7 @@
 // memberList is the platform's list of members at a revision of the table.
 type memberList struct {
 	members  []Member
-	revision uint64
+	revision revision.Revision
 	encoded  encodedOnce
 }
 
@@ -112,7 +116,7 @@
 		return
 	}
 	ps.collectorAnsweredAt.Store(int64(bootTime()))
-	if list := ps.gw.memberList.Load(); list == nil || list.revision >= answer.MembersRevision {
+	if list := ps.gw.memberList.Load(); list == nil || list.revision >= revision.Revision(answer.MembersRevision) {
 		return // the first list comes from the store
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
@@ -130,7 +134,7 @@
 	for i, m := range members {
 		changes[i] = Change[Member]{Key: m.ID, Value: m}
 	}
-	ps.gw.controller.enqueue(func() { ps.gw.controller.applyFetchedMembers(changes, response.Revision) })
+	ps.gw.controller.enqueue(func() { ps.gw.controller.applyFetchedMembers(changes, revision.Revision(response.Revision)) })
 }
 
 // followsCollector reports whether this instance learns of changes from a collector. After
@@ -151,21 +155,22 @@
 // confirmations from a collector.
 func (ps *peers) followsForConfig() bool {
 	age, known := ps.gw.configLeaseAge()
-	return known && !needsConfirmation(age) && ps.followsCollector()
+	return known && (!needsConfirmation(age) || !ps.gw.eras.settled()) && ps.followsCollector()
 }
 
 // fetchConfiguration fetches the configuration of a peer and makes it current unless this
-// instance has a newer one. It returns the revision, and the age of its confirmation.
-func (ps *peers) fetchConfiguration(p *peer) (revision uint64, age time.Duration, ok bool) {
+// instance has a newer one. It returns what it fetched, with the age of its confirmation,
+// or nil.
+func (ps *peers) fetchConfiguration(p *peer) *pb.FetchCatalogResponse {
 	if !ps.fetchingConfig.CompareAndSwap(false, true) {
-		return 0, 0, false
+		return nil
 	}
 	defer ps.fetchingConfig.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	r, err := p.client.FetchCatalog(ctx, &pb.FetchCatalogRequest{AcceptGzip: true})
 	if err != nil || r.AgeMs < 0 {
-		return 0, 0, false // retried in the next exchange or with another peer
+		return nil // retried in the next exchange or with another peer
 	}
 	data := r.Entries
 	if len(r.CompressedEntries) > 0 {
@@ -177,8 +182,8 @@
 	}
 	if err != nil {
 		ps.gw.log.WithFields(logrus.Fields{"event": "fetch-catalog", "peer": p.ID}).WithError(err).Warn("cannot decode the configuration of a peer")
-		return 0, 0, false
+		return nil
 	}
-	ps.gw.installConfiguration(entries.configuration(r.Revision))
-	return r.Revision, time.Duration(r.AgeMs) * time.Millisecond, true
+	ps.gw.installConfiguration(entries.decode(revision.Revision(r.Revision)))
+	return r
 }
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
@@ -32,13 +33,14 @@
 	follower.byID[id].client = pb.NewGateProtobufClient(server.URL, server.Client())
 	follower.mu.Unlock()
 	for _, ps := range []*peers{collector, follower} {
-		revision := uint64(7)
+		version := uint64(7)
 		if ps == follower {
-			revision = 5
+			version = 5
 		}
-		ps.gw.installConfiguration(&configuration{spec: specOfVersion(revision), revision: revision, outOfServiceZones: map[string]bool{}})
+		at := revision.New(0, version)
+		ps.gw.installConfiguration(catalog.Entries{Spec: specOfVersion(version), Revision: at, ZonesOut: map[string]bool{}})
 		ps.gw.confirmConfig(bootTime())
-		ps.gw.controller.applyMembers([]Change[Member]{listed("m1"), listed("m" + string(rune('0'+revision)))}, true, revision)
+		ps.gw.controller.applyMembers([]Change[Member]{listed("m1"), listed("m" + string(rune('0'+version)))}, true, at)
 	}
 	collector.gw.noteStoreAnswer(bootTime())
 	return collector, follower, server
@@ -68,8 +70,8 @@
 	follower.listedAt.Store(int64(bootTime() - maxFollowSilence))
 	g.Expect(follower.followsCollector()).To(BeFalse(), "the collector has not answered")
 	exchangeWithCollector(follower, collector)
-	g.Expect(follower.gw.currentConfig.Load().revision).To(Equal(uint64(7)))
-	g.Expect(follower.gw.memberList.Load().revision).To(Equal(uint64(7)))
+	g.Expect(follower.gw.currentConfig.Load().Revision).To(Equal(revision.New(0, 7)))
+	g.Expect(follower.gw.memberList.Load().revision).To(Equal(revision.New(0, 7)))
 	g.Expect(follower.gw.controller.members.Entries()).To(HaveKey("m7"))
 	g.Expect(follower.gw.controller.members.UnlistedSince()).To(HaveKey("m5"))
 	g.Expect(follower.followsCollector()).To(BeTrue())
@@ -118,7 +120,7 @@
 	for range 900 {
 		spec.Routes = append(spec.Routes, catalog.Route{Name: "route", Database: strings.Repeat("d", len(spec.Routes)%50+1) + string(rune(len(spec.Routes)+1000)), Group: "g"})
 	}
-	collector.gw.installConfiguration(&configuration{spec: spec, revision: 8, outOfServiceZones: map[string]bool{"z9": true}})
+	collector.gw.installConfiguration(catalog.Entries{Spec: spec, Revision: 8, ZonesOut: map[string]bool{"z9": true}})
 	plain, err := collector.FetchCatalog(context.Background(), &pb.FetchCatalogRequest{})
 	g.Expect(err).NotTo(HaveOccurred())
 	small, err := collector.FetchCatalog(context.Background(), &pb.FetchCatalogRequest{AcceptGzip: true})
@@ -143,7 +145,7 @@
 	log := logrus.New()
 	w := watcher[int]{
 		name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt, log: logrus.NewEntry(log),
-		suspended: func() bool { return true }, knownRevision: func() uint64 { return 9 },
+		suspended: func() bool { return true }, knownRevision: func() revision.Revision { return 9 },
 	}
 	w.apply = func(_ Batch[int], complete bool, _ time.Duration) { applied <- complete }
 	go w.run(ctx)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -62,6 +62,8 @@
 	controller      *controller
 	relayedSessions relayedSessions
 
+	eras storeEras
+
 	// currentConfig is the newest configuration.
 	currentConfig atomic.Pointer[configuration]
 	// memberList is the list of members as last applied.
@@ -94,14 +96,11 @@
 	return g.cfg.ID + "-start-" + strconv.FormatUint(g.refusedStarts.Add(1), 10)
 }
 
-// configuration is the operators' configuration at one revision of their
-// table.
+// configuration holds the operators' entries in use, with the compiled catalog.
 type configuration struct {
-	catalog           *catalog.Catalog
-	spec              *catalog.Spec
-	outOfServiceZones map[string]bool
-	revision          uint64
-	encoded           encodedOnce
+	catalog.Entries
+	catalog *catalog.Catalog
+	encoded encodedOnce
 }
 
 // New returns a gateway that does not serve yet.
@@ -109,7 +108,7 @@
 	g := &Gateway{
 		cfg: cfg, started: time.Now().UnixMilli(), log: cfg.Log,
 		pools: map[string]*pool{}, sessions: map[*session]bool{},
-		interruptOperatorsPoll: make(chan struct{}), interruptMembersPoll: make(chan struct{}),
+		interruptOperatorsPoll: make(chan struct{}, 1), interruptMembersPoll: make(chan struct{}, 1),
 	}
 	g.configLease.MaxAge = cfg.RevocationBound - configLeaseMargin
 	g.relayedSessions.sessions = map[string]*relayedSession{}
@@ -186,7 +185,8 @@
 // older than the revocation bound allows.
 func (g *Gateway) authorize(s Startup) (*catalog.Route, *catalog.Workspace, error) {
 	c := g.currentConfig.Load()
-	if c == nil {
+	if _, confirmed := g.configLeaseAge(); c == nil || !confirmed {
+		// A restored store may show an instance that starts an older configuration.
 		return nil, nil, notRun(verdict.NoPrimary, "no configuration yet").WithRetryAfter(refusalRetryAfter)
 	}
 	route, workspace, err := c.catalog.Authorize(s.Database, s.Key)
--- a/pkg/gateway/peerservice.go
+++ b/pkg/gateway/peerservice.go
@@ -31,7 +31,7 @@
 		ps.fillAlive(answer, s, answer.Zone)
 	case isCollector:
 		if list := ps.gw.memberList.Load(); list != nil && ps.gw.storeAnswers() {
-			answer.MembersRevision = list.revision
+			answer.MembersRevision = uint64(list.revision)
 		}
 		answer.Usages = usages(ps.gw.limits.reportOthers(s.Id+"/"+strconv.FormatInt(s.Started, 10), workspaces))
 		ps.fillAlive(answer, s, "")
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &pb.FetchCatalogResponse{Revision: c.revision, AgeMs: age.Milliseconds() + 1}
+	response := &pb.FetchCatalogResponse{Revision: uint64(c.Revision), ConfigVersion: c.Version(), AgeMs: age.Milliseconds() + 1}
 	if request.AcceptGzip {
 		response.CompressedEntries = compressed
 	} else {
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pb.FetchMembersResponse{Revision: list.revision, Entries: data}, nil
+	return &pb.FetchMembersResponse{Revision: uint64(list.revision), Entries: data}, nil
 }
 
 // checkPrimary reports whether the member responds to this instance now, and the
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
@@ -111,34 +112,33 @@
 // Change is one changed entry of a table. If the entry cannot be read, Err is
 // set instead of Value and the entry counts as absent.
 type Change[T any] struct {
-	// Version orders the changes of a table.
-	Version uint64
-	Key     string
-	Value   T
-	Removed bool
-	Err     error
+	// Revision orders the changes of a table.
+	Revision revision.Revision
+	Key      string
+	Value    T
+	Removed  bool
+	Err      error
 }
 
 // Batch is a list of entries or changes and the table revision up to which it
 // is complete.
 type Batch[T any] struct {
 	Changes  []Change[T]
-	Revision uint64
-	// Era is the era of the store that sent the batch.
-	Era uint64
+	Revision revision.Revision
 }
 
-// ErrHistoryLost is returned by Table.Await when the store no longer keeps the
-// changes after the revision; the caller must list the table instead.
+// ErrHistoryLost is returned by Table.Await when the store does not keep the changes
+// after the revision, or the revision is of another era than the store's; the caller
+// must list the table instead.
 var ErrHistoryLost = errors.New("the store no longer keeps the changes")
 
 // Table is a table of the platform's store.
 type Table[T any] interface {
-	// List returns all entries.
+	// List returns all entries, which are of one era.
 	List(ctx context.Context) (Batch[T], error)
 	// Await returns the changes after a revision as soon as there are any, or
 	// an empty batch after wait.
-	Await(ctx context.Context, after uint64, wait time.Duration) (Batch[T], error)
+	Await(ctx context.Context, after revision.Revision, wait time.Duration) (Batch[T], error)
 }
 
 // Duty is the promotion lease: the store's entry that says which instance may
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -6,7 +6,7 @@
 
 // updateMembers applies the group's list of members: adds new ones, removes
 // those that are gone, and records which must get no new work.
-func (p *pool) updateMembers(members []Member, unlistedSince map[string]time.Time, outOfServiceZones map[string]bool, maxConnections, servingInstances int, inServingSet bool) {
+func (p *pool) updateMembers(members []Member, unlistedSince map[string]time.Time, isOutOfService func(zone string) bool, maxConnections, servingInstances int, inServingSet bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -24,7 +24,7 @@
 			p.members[next.ID] = m
 			changed = true
 		}
-		changed = m.updateEntry(next, unlistedSince[next.ID], outOfServiceZones[next.Zone], now) || changed
+		changed = m.updateEntry(next, unlistedSince[next.ID], isOutOfService(next.Zone), now) || changed
 	}
 	for id, m := range p.members {
 		if !present[id] {
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
 const (
@@ -53,6 +55,9 @@
 	recoveryPollWait = 100 * time.Millisecond
 	// listTimeout bounds the listing of a table.
 	listTimeout = 1500 * time.Millisecond
+	// minListDelay and maxListDelay bound the delay before an instance that follows a
+	// collector lists a table itself: two exchanges with the collector, spread over as long.
+	minListDelay, maxListDelay = 2 * exchangeInterval, 4 * exchangeInterval
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay after a failed
 	// call to the store.
 	minStoreRetryDelay, maxStoreRetryDelay = 100 * time.Millisecond, 700 * time.Millisecond
@@ -80,44 +85,61 @@
 	// its changes, and knownRevision the revision up to which they are known; both may be
 	// nil.
 	suspended     func() bool
-	knownRevision func() uint64
+	knownRevision func() revision.Revision
 	// relist asks for the table to be listed again; it may be nil.
 	relist *atomic.Bool
 	// onRecovered is called when the store responds again; it may be nil.
 	onRecovered func()
+	// currentEra returns the newest known era of the store, and observeEra records one.
+	// listDelay returns the delay before a table whose history is lost is listed. All may
+	// be nil.
+	currentEra func() uint64
+	observeEra func(era uint64)
+	listDelay  func() time.Duration
 }
 
+// errFormerEra means that an answer is of an era that has ended.
+var errFormerEra = errors.New("the answer is from before the restoration of the store")
+
 // run follows the table until ctx is done.
 func (w *watcher[T]) run(ctx context.Context) {
-	var revision, era uint64
-	listed := false
-	retry := minStoreRetryDelay
+	var known revision.Revision
+	listed, everListed := false, false
+	retry, relistDelay := minStoreRetryDelay, time.Duration(0)
 	for ctx.Err() == nil {
 		if w.relist != nil && w.relist.Swap(false) {
 			listed = false
 		}
-		if listed && !w.interrupted && !w.failing && w.suspended != nil && w.suspended() {
+		if everListed && !w.interrupted && !w.failing && w.suspended != nil && w.suspended() {
 			w.awaitInterrupt(ctx, followCheckInterval)
 			continue
 		}
 		if w.knownRevision != nil {
-			revision = max(revision, w.knownRevision())
+			known = max(known, w.knownRevision())
+		}
+		if w.currentEra != nil && known.Era() < w.currentEra() {
+			listed = false // the versions of the former era mean nothing to the store
 		}
 		asked := bootTime()
-		batch, err := w.poll(ctx, listed, revision)
+		batch, err := w.poll(ctx, listed, known)
+		if err == nil {
+			err = w.checkEra(batch.Revision)
+		}
 		switch {
 		case err == nil:
 			w.noteSuccess()
 			retry = minStoreRetryDelay
-			if !listed || batch.Era != era {
+			if listed {
+				relistDelay = 0
+			} else {
+				w.discardInterrupt()
 				w.log.WithFields(logrus.Fields{
-					"event": "table-read", "table": w.name, "era": batch.Era, "revision": batch.Revision, "listed": !listed,
-					"entries": len(batch.Changes), "newest": newestChange(batch.Changes), "knownEra": era, "knownRevision": revision,
-				}).Info("read a table of the store")
+					"event": "table-listed", "table": w.name, "era": batch.Revision.Era(), "version": batch.Revision.Version(),
+					"entries": len(batch.Changes), "newest": newestChange(batch.Changes).Version(), "knownEra": known.Era(), "knownVersion": known.Version(),
+				}).Info("listed a table of the store")
 			}
-			era = batch.Era
 			w.apply(batch, !listed, asked)
-			revision, listed = max(revision, batch.Revision), true
+			known, listed, everListed = max(known, batch.Revision), true, true
 			if w.batchDelay != nil && len(batch.Changes) > 0 {
 				sleep(ctx, w.batchDelay())
 			}
@@ -125,8 +147,16 @@
 			// Not a failure: the next poll follows immediately with a short
 			// wait.
 		case errors.Is(err, ErrHistoryLost):
-			w.log.WithFields(logrus.Fields{"event": "history-lost", "table": w.name, "revision": revision}).Info("the store dropped changes; listing the table again")
+			w.noteSuccess() // the store answers
+			w.log.WithFields(logrus.Fields{"event": "history-lost", "table": w.name, "era": known.Era(), "version": known.Version()}).Info("the store does not have the changes; listing the table again")
 			listed = false
+			delay := relistDelay
+			if w.listDelay != nil {
+				delay = max(delay, w.listDelay())
+			}
+			sleep(ctx, delay)
+			// The next loss without an answer in between is delayed.
+			relistDelay = min(max(minStoreRetryDelay, 2*relistDelay), maxStoreRetryDelay)
 		default:
 			w.noteFailure(ctx, err)
 			sleep(ctx, retry)
@@ -135,11 +165,31 @@
 	}
 }
 
-// newestChange returns the version of the last change among the changes.
-func newestChange[T any](changes []Change[T]) uint64 {
-	var newest uint64
+// discardInterrupt discards an interruption that was sent before a listing ended.
+func (w *watcher[T]) discardInterrupt() {
+	select {
+	case <-w.interrupt:
+	default: // there is none
+	}
+}
+
+// checkEra records the era of an answer, and fails if a later one is known: a delayed
+// answer of a former era must not be applied to what the present one holds.
+func (w *watcher[T]) checkEra(at revision.Revision) error {
+	if w.observeEra != nil {
+		w.observeEra(at.Era())
+	}
+	if w.currentEra != nil && at.Era() < w.currentEra() {
+		return errFormerEra
+	}
+	return nil
+}
+
+// newestChange returns the revision of the last change among the changes.
+func newestChange[T any](changes []Change[T]) revision.Revision {
+	var newest revision.Revision
 	for i := range changes {
-		newest = max(newest, changes[i].Version)
+		newest = max(newest, changes[i].Revision)
 	}
 	return newest
 }
@@ -156,13 +206,13 @@
 	}
 }
 
-func (w *watcher[T]) poll(ctx context.Context, listed bool, revision uint64) (Batch[T], error) {
+func (w *watcher[T]) poll(ctx context.Context, listed bool, known revision.Revision) (Batch[T], error) {
 	if listed && (w.failing || w.interrupted) {
 		w.interrupted = false
-		return w.table.Await(ctx, revision, recoveryPollWait)
+		return w.table.Await(ctx, known, recoveryPollWait)
 	}
 	if listed {
-		return w.awaitChanges(ctx, revision)
+		return w.awaitChanges(ctx, known)
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -170,7 +220,7 @@
 }
 
 // awaitChanges polls for changes until interrupt ends the poll.
-func (w *watcher[T]) awaitChanges(ctx context.Context, revision uint64) (Batch[T], error) {
+func (w *watcher[T]) awaitChanges(ctx context.Context, known revision.Revision) (Batch[T], error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	returned := make(chan struct{})
@@ -184,7 +234,7 @@
 		case <-returned:
 		}
 	}()
-	batch, err := w.table.Await(ctx, revision, w.pollWait())
+	batch, err := w.table.Await(ctx, known, w.pollWait())
 	select {
 	case <-interrupted:
 		w.interrupted = err != nil
@@ -223,17 +273,20 @@
 // watchOperators follows the operators' entries.
 func (g *Gateway) watchOperators(ctx context.Context) {
 	entries := map[string]OperatorEntry{}
-	var newest uint64
+	var newest revision.Revision
+	var writes catalog.WriteLog
 	w := watcher[OperatorEntry]{name: "operators", table: g.cfg.Store.Operators(), pollWait: g.operatorsPollTimeout, log: g.log, interrupt: g.interruptOperatorsPoll, suspended: g.peers.followsForConfig}
+	w.currentEra, w.observeEra, w.listDelay = g.eras.current, g.observeEra, g.listDelay
 	// A longer poll for members sent during the outage may still hang.
 	w.onRecovered = func() { interruptPoll(g.interruptMembersPoll) }
 	w.apply = func(batch Batch[OperatorEntry], complete bool, asked time.Duration) {
 		g.noteStoreAnswer(asked)
 		if complete {
 			entries = map[string]OperatorEntry{}
+			newest = max(newest, revision.New(batch.Revision.Era(), 0))
 		}
 		for _, c := range batch.Changes {
-			newest = max(newest, c.Version)
+			newest = max(newest, c.Revision)
 			switch {
 			case c.Err != nil:
 				g.log.WithFields(logrus.Fields{"event": "entry-unreadable", "key": c.Key}).WithError(c.Err).Warn("operators' entry ignored")
@@ -241,12 +294,20 @@
 				delete(entries, c.Key)
 			default:
 				entries[c.Key] = c.Value
+				if c.Value.Spec != nil {
+					writes.Observe(c.Value.Spec.Version, c.Revision, complete)
+				}
 			}
 		}
+		settled := g.eras.settledAt(asked)
 		if complete || len(batch.Changes) > 0 {
 			g.applyOperatorEntries(entries, newest)
 		}
-		if g.currentConfig.Load() != nil {
+		if settled {
+			g.releaseHeldZones()
+		}
+		// A restored store may lack the newest configuration until it is written again.
+		if g.currentConfig.Load() != nil && (settled || writes.WrittenIn(batch.Revision.Era())) {
 			g.confirmConfig(asked)
 		}
 	}
@@ -255,46 +316,86 @@
 
 // applyOperatorEntries compiles the operators' entries into a configuration
 // and installs it.
-func (g *Gateway) applyOperatorEntries(entries map[string]OperatorEntry, revision uint64) {
-	next := &configuration{outOfServiceZones: map[string]bool{}, revision: revision}
+func (g *Gateway) applyOperatorEntries(entries map[string]OperatorEntry, at revision.Revision) {
+	next := catalog.Entries{ZonesOut: map[string]bool{}, Revision: at}
 	for _, e := range entries {
 		if e.Spec != nil {
-			next.spec = e.Spec
+			next.Spec = e.Spec
 		} else {
-			next.outOfServiceZones[e.OutOfServiceZone] = true
+			next.ZonesOut[e.OutOfServiceZone] = true
 		}
 	}
 	g.installConfiguration(next)
 }
 
-// installConfiguration makes a configuration current unless a newer one
-// already is. It is safe for concurrent use.
-func (g *Gateway) installConfiguration(next *configuration) {
-	if next.spec == nil {
-		return
-	}
-	c, err := catalog.Compile(*next.spec)
-	if err != nil {
-		g.log.WithFields(logrus.Fields{"event": "configuration-refused", "version": next.spec.Version}).WithError(err).Error("configuration ignored")
-		return
-	}
-	next.catalog = c
+// installConfiguration merges entries read from the store or a peer into those in use. It
+// is safe for concurrent use.
+func (g *Gateway) installConfiguration(next catalog.Entries) { g.mergeConfiguration(next, false) }
+
+func (g *Gateway) mergeConfiguration(next catalog.Entries, settled bool) {
 	for {
 		current := g.currentConfig.Load()
-		if current != nil && (current.revision > next.revision || current.catalog.Version() > c.Version()) {
+		var inUse catalog.Entries
+		if current != nil {
+			inUse = current.Entries
+		}
+		merged, changed := inUse.Merge(next, settled)
+		if next.Spec != nil && next.Version() < merged.Version() {
 			g.log.WithFields(logrus.Fields{
-				"event": "configuration-kept", "version": current.catalog.Version(), "revision": current.revision,
-				"readVersion": c.Version(), "readRevision": next.revision,
+				"event": "configuration-kept", "version": merged.Version(), "readVersion": next.Version(), "readEra": next.Revision.Era(), "readRevision": next.Revision.Version(),
 			}).Info("an older configuration was read; keeping the newer one")
+		}
+		if !changed || merged.Spec == nil {
 			return
 		}
-		if g.currentConfig.CompareAndSwap(current, next) {
-			break
+		installed := &configuration{Entries: merged}
+		if current != nil && merged.Spec == current.Spec {
+			installed.catalog = current.catalog
+		} else if installed.catalog = g.compile(merged.Spec); installed.catalog == nil {
+			return
+		}
+		if g.currentConfig.CompareAndSwap(current, installed) {
+			g.noteInstalled(installed)
+			return
 		}
 	}
-	g.limits.configure(c.Workspaces())
+}
+
+// compile returns the compiled configuration, or nil if it is invalid.
+func (g *Gateway) compile(spec *catalog.Spec) *catalog.Catalog {
+	c, err := catalog.Compile(*spec)
+	if err != nil {
+		g.log.WithFields(logrus.Fields{"event": "configuration-refused", "version": spec.Version}).WithError(err).Error("configuration ignored")
+		return nil
+	}
+	return c
+}
+
+func (g *Gateway) noteInstalled(c *configuration) {
+	g.limits.configure(c.catalog.Workspaces())
 	g.controller.enqueue(func() { g.controller.updatePools() })
-	g.log.WithFields(logrus.Fields{"event": "configuration", "version": c.Version(), "revision": next.revision, "zonesOut": len(next.outOfServiceZones)}).Info("configuration installed")
+	g.log.WithFields(logrus.Fields{
+		"event": "configuration", "version": c.Version(), "era": c.Revision.Era(), "revision": c.Revision.Version(), "zonesOut": len(c.ZonesOut), "zonesHeld": len(c.HeldZones),
+	}).Info("configuration installed")
+}
+
+// releaseHeldZones puts zones back into service that were out of service before the store
+// was restored. The entries in use must have been read once the operators had had the time
+// to write theirs again.
+func (g *Gateway) releaseHeldZones() {
+	if c := g.currentConfig.Load(); c != nil && len(c.HeldZones) > 0 {
+		g.mergeConfiguration(c.Entries, true)
+	}
+}
+
+// listDelay returns the delay before this instance lists a table whose history the store
+// has lost. In a large fleet the collectors list it at once, and the others only if no
+// collector serves them by then.
+func (g *Gateway) listDelay() time.Duration {
+	if g.peers.readsStore() {
+		return 0
+	}
+	return minListDelay + rand.N(maxListDelay-minListDelay)
 }
 
 // needsConfirmation reports whether the last confirmation is older than it
@@ -328,7 +429,8 @@
 func (g *Gateway) watchMembers(ctx context.Context) {
 	w := watcher[Member]{name: "members", table: g.cfg.Store.Members(), log: g.log, interrupt: g.interruptMembersPoll, relist: &g.relistMembers}
 	w.suspended = g.peers.followsCollector
-	w.knownRevision = func() uint64 {
+	w.currentEra, w.observeEra, w.listDelay = g.eras.current, g.observeEra, g.listDelay
+	w.knownRevision = func() revision.Revision {
 		if list := g.memberList.Load(); list != nil {
 			return list.revision
 		}
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+
+	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
 // scriptedTable answers calls with scripted errors and records the requested
@@ -36,7 +38,7 @@
 	return Batch[int]{Revision: 5}, t.next()
 }
 
-func (t *scriptedTable) Await(_ context.Context, after uint64, wait time.Duration) (Batch[int], error) {
+func (t *scriptedTable) Await(_ context.Context, after revision.Revision, wait time.Duration) (Batch[int], error) {
 	t.waits = append(t.waits, wait)
 	return Batch[int]{Revision: after}, t.next()
 }
@@ -136,7 +138,7 @@
 
 func (t *changingTable) List(context.Context) (Batch[int], error) { return Batch[int]{}, nil }
 
-func (t *changingTable) Await(_ context.Context, after uint64, _ time.Duration) (Batch[int], error) {
+func (t *changingTable) Await(_ context.Context, after revision.Revision, _ time.Duration) (Batch[int], error) {
 	if t.changes > 0 {
 		t.changes--
 		return Batch[int]{Revision: after + 1, Changes: make([]Change[int], 1)}, nil
@@ -156,7 +158,7 @@
 
 func (t *hangingTable) List(context.Context) (Batch[int], error) { return Batch[int]{Revision: 7}, nil }
 
-func (t *hangingTable) Await(ctx context.Context, after uint64, wait time.Duration) (Batch[int], error) {
+func (t *hangingTable) Await(ctx context.Context, after revision.Revision, wait time.Duration) (Batch[int], error) {
 	t.asked <- wait
 	if wait == recoveryPollWait {
 		return Batch[int]{Revision: after}, nil
@@ -211,7 +213,7 @@
 
 func (emptyTable) List(context.Context) (Batch[Instance], error) { return Batch[Instance]{}, nil }
 
-func (emptyTable) Await(context.Context, uint64, time.Duration) (Batch[Instance], error) {
+func (emptyTable) Await(context.Context, revision.Revision, time.Duration) (Batch[Instance], error) {
 	return Batch[Instance]{}, nil
 }
 
