Make fencing tokens and claims of the promotion lease valid in one era only

What callers may see: a promotion ordered with a token that the platform has seen from another holder, or refused for being lower (ONE, or a group without a primary).

Cause: the fencing token is the version of the lease's row. A restored store gives versions out again, so two claims got one token and later claims lower ones. The restored row named a former holder as the present one, and a claim that is carried out late could meet its expected version again.

Change: the token is the revision, era first. A claim names the era in which it was made and is void in any later one; what peers remember of the last holder stays. The holder claims again as soon as it notices the restoration.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -81,6 +81,13 @@
 	c.log().Info("change of primary begins")
 	defer c.resumeUnlessOrdered()
 	for ctx.Err() == nil {
+		if !c.controller.mayAct() {
+			// Replicas must not be paused meanwhile.
+			if _, ok := c.controller.awaitDuty(ctx); !ok {
+				c.log().WithError(errNotDutyHolder).Info("change of primary abandoned")
+				return
+			}
+		}
 		successor, ok := c.prepareSuccessor(ctx)
 		if !ok {
 			if c.isResolved(ctx) {
@@ -339,9 +346,8 @@
 func (c *primaryChange) orderPromotion(ctx context.Context, successor Member) (bool, error) {
 	gw := c.controller.gw
 	for ctx.Err() == nil {
-		c.controller.renewDuty(ctx)
-		duty, self, _ := gw.peers.dutyHolder()
-		if !self {
+		duty, ok := c.controller.awaitDuty(ctx)
+		if !ok {
 			return false, errNotDutyHolder
 		}
 		c.promotionOrdered = true
@@ -355,12 +361,9 @@
 			// Either the token is outdated or the member is not running;
 			// reading the promotion lease from the store tells which.
 			readCtx, cancel := context.WithTimeout(ctx, listTimeout)
-			newest, readErr := gw.cfg.Store.ReadDuty(readCtx)
+			_, readErr := c.controller.readDuty(readCtx)
 			cancel()
-			if readErr == nil {
-				gw.peers.updateDuty(newest)
-			}
-			return false, err
+			return false, errors.CombineErrors(err, readErr)
 		}
 		c.log().WithField("successor", successor.ID).WithError(err).Info("promotion order got no answer; retrying")
 		sleep(ctx, promoteRetryInterval)
@@ -368,25 +371,61 @@
 	return false, ctx.Err()
 }
 
+// mayAct reports whether this instance holds the promotion lease and may act on it. After
+// the store was restored, the claim must have been made again, and another holder may have
+// acted just before although its claim is lost.
+func (c *controller) mayAct() bool {
+	duty, self, _ := c.gw.peers.dutyHolder()
+	era, age := c.gw.eras.knownFor()
+	return self && duty.Token.Era() == era && age >= minDutyTenure
+}
+
+// awaitDuty renews this instance's claim and returns it once the instance may act on it.
+// It returns false if another instance holds the promotion lease.
+func (c *controller) awaitDuty(ctx context.Context) (Duty, bool) {
+	for ctx.Err() == nil {
+		c.renewDuty(ctx)
+		switch duty, self, _ := c.gw.peers.dutyHolder(); {
+		case !self:
+			return Duty{}, false
+		case c.mayAct():
+			return duty, true
+		}
+		sleep(ctx, promoteRetryInterval)
+	}
+	return Duty{}, false
+}
+
 // renewDuty renews this instance's claim before it acts, so that no other
-// instance can claim the promotion lease immediately afterwards.
+// instance can claim the promotion lease immediately afterwards. A claim that the
+// store has lost is made again.
 func (c *controller) renewDuty(ctx context.Context) {
 	gw := c.gw
 	duty, self, _ := gw.peers.dutyHolder()
-	if tenure, _ := gw.peers.dutyTenure(); !self || tenure < dutyRenewAge {
+	lost := duty.Token.Era() < gw.eras.current()
+	if tenure, _ := gw.peers.dutyTenure(); !self || (tenure < dutyRenewAge && !lost) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, dutyRenewTimeout)
 	defer cancel()
-	renewed, err := gw.cfg.Store.ClaimDuty(ctx, duty, gw.cfg.ID, gw.started)
+	renewed, err := Duty{}, error(ErrConflict)
+	if !lost {
+		renewed, err = gw.cfg.Store.ClaimDuty(ctx, duty, gw.cfg.ID, gw.started)
+	}
 	if errors.Is(err, ErrConflict) {
-		renewed, err = gw.cfg.Store.ReadDuty(ctx)
+		renewed, err = c.readDuty(ctx)
+		if err == nil && (renewed.IsVoid() || renewed.Holder == "") {
+			renewed, err = gw.cfg.Store.ClaimDuty(ctx, renewed, gw.cfg.ID, gw.started)
+		}
 	}
 	if err != nil {
 		gw.log.WithField("event", "duty").WithError(err).Info("cannot renew the claim of the promotion duty")
 		return
 	}
 	gw.peers.updateDuty(renewed)
+	if lost {
+		gw.log.WithFields(logrus.Fields{"event": "duty", "token": renewed.Token, "holder": renewed.Holder}).Info("promotion duty after the restoration of the store")
+	}
 }
 
 // awaitPrimary waits until the successor is primary and informs the other
@@ -461,13 +500,12 @@
 			change.pausedReplicas = append(change.pausedReplicas, members[i].Member)
 		}
 	}
-	primaryStatus, ok := statuses[primary]
-	if len(change.pausedReplicas) == 0 || !ok || primaryStatus.Role != group.Primary {
+	primaryStatus, answered := statuses[primary]
+	if len(change.pausedReplicas) == 0 || !answered || primaryStatus.Role != group.Primary {
 		return
 	}
-	c.renewDuty(ctx)
-	duty, self, _ := c.gw.peers.dutyHolder()
-	if !self {
+	duty, ok := c.awaitDuty(ctx)
+	if !ok {
 		return
 	}
 	if err := c.gw.cfg.Promoter.Promote(ctx, duty, p.name, primary); err != nil {
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -493,10 +493,16 @@
 
 // ensureDutyHolder claims the promotion lease if it has no live holder.
 // Instances wait in order of their IDs, so that usually only one of them sends
-// a claim.
+// a claim. A holder claims its lease again after the store was restored.
 func (c *controller) ensureDutyHolder(ctx context.Context) {
-	_, _, alive := c.gw.peers.dutyHolder()
+	duty, self, alive := c.gw.peers.dutyHolder()
 	now := time.Now()
+	if self && duty.Token.Era() < c.gw.eras.current() {
+		if !c.claiming && now.Sub(c.lastClaimAt) >= claimRetryInterval {
+			c.startClaim(now, func() { c.renewDuty(ctx) })
+		}
+		return
+	}
 	if alive {
 		c.holderLostAt = time.Time{}
 		return
@@ -510,14 +516,22 @@
 	if tenure, claimed := c.gw.peers.dutyTenure(); claimed && tenure < minDutyTenure {
 		return
 	}
+	if _, age := c.gw.eras.knownFor(); age < minDutyTenure {
+		return // claimDuty would not claim either
+	}
 	rank := slices.IndexFunc(c.gw.peers.liveInstances().instances, func(i membership.Instance) bool { return i.ID == c.gw.cfg.ID })
 	wait := claimDelay + time.Duration(rank)*claimDelayPerRank
 	if c.gw.draining.Load() || c.claiming || now.Sub(c.holderLostAt) < wait || now.Sub(c.storeStaleAt) < claimDelayAfterOutage || now.Sub(c.startedAt) < time.Second || now.Sub(c.lastClaimAt) < claimRetryInterval {
 		return
 	}
+	c.startClaim(now, func() { c.claimDuty(ctx) })
+}
+
+// startClaim runs claim, which claims the promotion lease, in its own goroutine.
+func (c *controller) startClaim(now time.Time, claim func()) {
 	c.claiming, c.lastClaimAt = true, now
 	go func() {
-		c.claimDuty(ctx)
+		claim()
 		c.enqueue(func() { c.claiming = false })
 	}()
 }
@@ -526,16 +540,20 @@
 // holder is not alive. Instances that learn of each other through a collector
 // can lose sight of a healthy holder, so the holder is also asked directly. A
 // recent claim is left in place, because the platform does not allow holders to
-// act in quick succession.
+// act in quick succession. For the same reason nobody else claims soon after the
+// store was restored: it may have lost a recent claim.
 func (c *controller) claimDuty(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	peers, cfg := c.gw.peers, c.gw.cfg
-	duty, err := cfg.Store.ReadDuty(ctx)
+	duty, err := c.readDuty(ctx)
 	if err == nil {
-		peers.updateDuty(duty)
+		if _, age := c.gw.eras.knownFor(); age < minDutyTenure {
+			return
+		}
+		known, _, _ := peers.dutyHolder()
 		tenure, claimed := peers.dutyTenure()
-		if claimed && (tenure < minDutyTenure || peers.holderAnswers(ctx, duty)) {
+		if claimed && (tenure < minDutyTenure || peers.holderAnswers(ctx, known)) {
 			return
 		}
 		if _, _, alive := peers.dutyHolder(); alive {
@@ -553,3 +571,14 @@
 		c.gw.log.WithField("event", "duty").WithError(err).Warn("cannot claim the promotion duty")
 	}
 }
+
+// readDuty reads the promotion lease from the store and records it.
+func (c *controller) readDuty(ctx context.Context) (Duty, error) {
+	duty, err := c.gw.cfg.Store.ReadDuty(ctx)
+	if err != nil {
+		return Duty{}, err
+	}
+	c.gw.observeEra(duty.Token.Era())
+	c.gw.peers.updateDuty(duty)
+	return duty, nil
+}
--- a/pkg/gateway/duty_test.go
+++ b/pkg/gateway/duty_test.go
@@ -9,15 +9,22 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+
+	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
-// dutyStore is a store that holds only the promotion lease.
+// dutyStore is a store that holds only the promotion lease, in the era of its token.
 type dutyStore struct {
 	Store
 	duty   Duty
 	claims int
 }
 
+// restore puts back an earlier claim.
+func (s *dutyStore) restore(d Duty) {
+	s.duty = Duty{Holder: d.Holder, Started: d.Started, Token: revision.New(s.duty.Token.Era()+1, d.Token.Version()), ClaimedIn: d.ClaimedIn}
+}
+
 func (s *dutyStore) ReadDuty(context.Context) (Duty, error) { return s.duty, nil }
 
 func (s *dutyStore) ClaimDuty(_ context.Context, from Duty, holder string, started int64) (Duty, error) {
@@ -25,7 +32,7 @@
 		return Duty{}, ErrConflict
 	}
 	s.claims++
-	s.duty = Duty{Holder: holder, Started: started, Token: s.duty.Token + 1}
+	s.duty = Duty{Holder: holder, Started: started, Token: s.duty.Token + 1, ClaimedIn: from.Token.Era()}
 	return s.duty, nil
 }
 
@@ -92,7 +99,7 @@
 	g.Expect(store.claims).To(Equal(1))
 	duty, self, _ := a.peers.dutyHolder()
 	g.Expect(self).To(BeTrue())
-	g.Expect(duty.Token).To(Equal(uint64(6)))
+	g.Expect(duty.Token).To(Equal(revision.New(0, 6)))
 
 	store.duty = Duty{Holder: "c", Started: 1, Token: 9}
 	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -268,7 +268,7 @@
 	ps.mu.Unlock()
 	s := &pb.State{
 		Id: g.cfg.ID, Zone: g.cfg.Zone, Address: g.cfg.PeerAddress, Started: g.started, Leaving: left,
-		DutyHolder: duty.Holder, DutyStarted: duty.Started, DutyToken: duty.Token, AgeMs: -1, Capacity: g.cfg.Capacity,
+		DutyHolder: duty.Holder, DutyStarted: duty.Started, DutyToken: uint64(duty.Token), AgeMs: -1, Capacity: g.cfg.Capacity,
 	}
 	if c := g.currentConfig.Load(); c != nil {
 		s.Revision, s.ConfigVersion = uint64(c.Revision), c.Version()
@@ -303,7 +303,8 @@
 	}
 	instances := ps.observeAlive(s)
 	ps.gw.observePeerEra(s.StoreEra, time.Duration(s.StoreEraAgeMs)*time.Millisecond)
-	ps.updateDuty(Duty{Holder: s.DutyHolder, Started: s.DutyStarted, Token: s.DutyToken})
+	token := revision.Revision(s.DutyToken)
+	ps.updateDuty(Duty{Holder: s.DutyHolder, Started: s.DutyStarted, Token: token, ClaimedIn: token.Era()})
 	if !s.SectionOnly {
 		ps.observeUsages(s, instances)
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -198,8 +198,11 @@
 	return duty, false, p != nil && p.alive(time.Now()) && p.Started <= duty.Started
 }
 
-// updateDuty records the promotion lease if its token is newer.
+// updateDuty records a valid claim of the promotion lease if its token is newer.
 func (ps *peers) updateDuty(d Duty) {
+	if d.Holder == "" || d.IsVoid() {
+		return
+	}
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	if d.Token > ps.duty.Token {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -142,14 +142,21 @@
 }
 
 // Duty is the promotion lease: the store's entry that says which instance may
-// order promotions. Token is the fencing token: the revision at which the
-// holder claimed the lease.
+// order promotions.
 type Duty struct {
 	Holder  string
 	Started int64
-	Token   uint64
+	// Token is the fencing token: the revision at which the holder claimed the lease.
+	// The era is part of it, because a restored store gives versions out again.
+	Token revision.Revision
+	// ClaimedIn is the era that the holder knew when it claimed the lease. A claim of a
+	// former era is void: a newer one may have been lost with the restoration.
+	ClaimedIn uint64
 }
 
+// IsVoid reports whether the claim was made in a former era.
+func (d Duty) IsVoid() bool { return d.ClaimedIn < d.Token.Era() }
+
 // ErrConflict is returned by Store.ClaimDuty when another instance claimed the
 // promotion lease first.
 var ErrConflict = errors.New("another instance has claimed the duty")
@@ -165,7 +172,8 @@
 	// claimed.
 	ReadDuty(ctx context.Context) (Duty, error)
 	// ClaimDuty claims the promotion lease if it is unchanged since ReadDuty
-	// returned from.
+	// returned from. It returns ErrConflict if it has changed, or if the store has
+	// been restored since.
 	ClaimDuty(ctx context.Context, from Duty, holder string, started int64) (Duty, error)
 }
 
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -9,6 +11,96 @@
 	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
+// ageEra makes the instance know the present era for the time.
+func ageEra(gw *Gateway, age time.Duration) {
+	era := gw.eras.current()
+	gw.observePeerEra(era, age)
+}
+
+// After a restoration the row named a former holder again. It had stopped, but its claim
+// was taken for the newest one.
+func TestRestoredClaimIsNoClaim(t *testing.T) {
+	g := NewWithT(t)
+	asker, store, holder := dutyOf(t)
+	asker.peers.updateDuty(store.duty)
+	former := Duty{Holder: "z", Started: 1, Token: 3}
+	store.restore(former)
+	asker.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+
+	asker.controller.claimDuty(context.Background())
+	duty, _, _ := asker.peers.dutyHolder()
+	g.Expect(duty.Holder).To(Equal("b"), "the last holder known, not the one in the restored row")
+	g.Expect(store.claims).To(BeZero(), "a claim lost with the restoration may be recent")
+
+	ageEra(asker, minDutyTenure)
+	asker.controller.claimDuty(context.Background())
+	g.Expect(store.claims).To(BeZero(), "the last holder answers")
+	holder.Close()
+	asker.peers.mu.Lock()
+	asker.peers.byID["b"].lastHeard, asker.peers.byID["b"].addedAt = time.Time{}, time.Time{}
+	asker.peers.mu.Unlock()
+	asker.controller.claimDuty(context.Background())
+	g.Expect(store.claims).To(Equal(1))
+	duty, self, _ := asker.peers.dutyHolder()
+	g.Expect(self).To(BeTrue())
+	g.Expect(duty.Token.Era()).To(Equal(uint64(1)))
+}
+
+// A holder went on with the token of a claim that the store had lost, and the platform had
+// seen the next holder's higher one.
+func TestHolderClaimsAgainAfterARestoration(t *testing.T) {
+	g := NewWithT(t)
+	store := &dutyStore{}
+	a := newTestInstance("a", store)
+	store.duty = Duty{Holder: "a", Started: a.started, Token: 9}
+	a.peers.updateDuty(store.duty)
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	g.Expect(a.controller.mayAct()).To(BeTrue())
+	a.observeEra(0)
+	store.restore(Duty{Holder: "z", Started: 1, Token: 3})
+	a.observeEra(1)
+	g.Expect(a.controller.mayAct()).To(BeFalse(), "the claim is lost")
+
+	a.controller.renewDuty(context.Background())
+	g.Expect(store.duty.Holder).To(Equal("a"))
+	g.Expect(store.duty.IsVoid()).To(BeFalse())
+	g.Expect(a.controller.mayAct()).To(BeFalse(), "another holder may have acted just before the restoration")
+	ageEra(a, minDutyTenure)
+	g.Expect(a.controller.mayAct()).To(BeTrue())
+}
+
+// The holder must step down if another instance has claimed in the new era.
+func TestHolderStepsDownIfAnotherClaimedAfterTheRestoration(t *testing.T) {
+	g := NewWithT(t)
+	store := &dutyStore{}
+	a := newTestInstance("a", store)
+	a.peers.updateDuty(Duty{Holder: "a", Started: a.started, Token: 9})
+	a.observeEra(0)
+	store.duty = Duty{Holder: "c", Started: 1, Token: revision.New(1, 4), ClaimedIn: 1}
+	a.observeEra(1)
+	a.controller.renewDuty(context.Background())
+	duty, self, _ := a.peers.dutyHolder()
+	g.Expect(self).To(BeFalse())
+	g.Expect(duty.Holder).To(Equal("c"))
+	g.Expect(store.claims).To(BeZero())
+}
+
+// A late claim of a former era replaced the holder's row. The holder's renewals then
+// failed for good.
+func TestHolderReplacesAVoidClaim(t *testing.T) {
+	g := NewWithT(t)
+	store := &dutyStore{}
+	a := newTestInstance("a", store)
+	a.observeEra(0)
+	a.observeEra(1)
+	a.peers.updateDuty(Duty{Holder: "a", Started: a.started, Token: revision.New(1, 9), ClaimedIn: 1})
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	store.duty = Duty{Holder: "b", Started: 1, Token: revision.New(1, 10)}
+	a.controller.renewDuty(context.Background())
+	g.Expect(store.duty.Holder).To(Equal("a"))
+	g.Expect(store.duty.IsVoid()).To(BeFalse())
+}
+
 // A follower kept the list of the former era, whose revision was a higher version.
 func TestFollowerFetchesTheListOfTheNextEra(t *testing.T) {
 	g := NewWithT(t)
