Ignore entries of members that precede the known ones

What callers may see: statements sent to a member that had reported to be draining or had left (DRAIN).

Cause: a copy of the store lists a member as it was some seconds ago, ready instead of draining or gone, until the member writes its entry again.

Change: members count their entries from their start. An entry of the same process with a lower count than the known one leaves the known state as it is; a member that was removed stays removed.

Evidence: TestRestoredListKeepsMembersDraining fails without the comparison.

--- a/core/membership/listing.go
+++ b/core/membership/listing.go
@@ -13,15 +13,18 @@
 // Listing is a list that is published by another system, as known from complete copies
 // and from changes. It keeps the last value of an entry that is no longer listed, because
 // an entry may expire although what it describes is alive: the publisher may have been
-// unable to renew it. Listing is not safe for concurrent use.
+// unable to renew it. It ignores entries that precede the known one, as a publisher lists
+// them that was restored from a copy. Listing is not safe for concurrent use.
 type Listing[T any] struct {
 	entries       map[string]T
 	unlistedSince map[string]time.Time
+	isBefore      func(entry, known T) bool
 }
 
-// NewListing returns an empty listing.
-func NewListing[T any]() *Listing[T] {
-	return &Listing[T]{entries: map[string]T{}, unlistedSince: map[string]time.Time{}}
+// NewListing returns an empty listing. isBefore reports whether an entry precedes the known
+// entry of the same key; nil means never.
+func NewListing[T any](isBefore func(entry, known T) bool) *Listing[T] {
+	return &Listing[T]{entries: map[string]T{}, unlistedSince: map[string]time.Time{}, isBefore: isBefore}
 }
 
 // Apply applies changes in their order: an entry that is removed and listed again in one
@@ -35,6 +38,10 @@
 			l.unlist(c.Key, now)
 			continue
 		}
+		if known, ok := l.entries[c.Key]; ok && l.isBefore != nil && l.isBefore(c.Value, known) {
+			listed[c.Key] = l.unlistedSince[c.Key].IsZero()
+			continue
+		}
 		listed[c.Key] = true
 		l.entries[c.Key] = c.Value
 		delete(l.unlistedSince, c.Key)
--- a/core/membership/listing_test.go
+++ b/core/membership/listing_test.go
@@ -21,7 +21,7 @@
 		changes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) change {
 			return change{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Value: rapid.IntRange(0, 9).Draw(t, "value"), Absent: rapid.Bool().Draw(t, "absent")}
 		}), 0, 30).Draw(t, "changes")
-		single, batched := membership.NewListing[int](), membership.NewListing[int]()
+		single, batched := membership.NewListing[int](nil), membership.NewListing[int](nil)
 		for i := range changes {
 			single.Apply(start, changes[i:i+1], false)
 		}
@@ -65,7 +65,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			l := membership.NewListing[int]()
+			l := membership.NewListing[int](nil)
 			l.Apply(start, []change{put("a"), put("b")}, true)
 			l.Apply(start.Add(time.Second), c.batch, c.complete)
 			var unlisted []string
@@ -82,7 +82,7 @@
 // An entry stays known while it may come back, counted from its first removal.
 func TestListingForgetsEntriesThatStayAway(t *testing.T) {
 	g := NewWithT(t)
-	l := membership.NewListing[int]()
+	l := membership.NewListing[int](nil)
 	l.Apply(start, []change{{Key: "a"}, {Key: "b"}}, true)
 	l.Apply(start, []change{{Key: "a", Absent: true}}, false)
 	l.Apply(start.Add(8*time.Second), []change{{Key: "a", Absent: true}}, false)
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -101,7 +101,7 @@
 
 func newController(g *Gateway) *controller {
 	return &controller{
-		gw: g, wake: make(chan struct{}, 1), members: membership.NewListing[Member](),
+		gw: g, wake: make(chan struct{}, 1), members: membership.NewListing(Member.isBefore),
 		groups: map[string]*groupState{}, startedAt: time.Now(),
 	}
 }
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -87,6 +87,13 @@
 	IsPrimary bool
 	// StartedMs is the member's start time in Unix milliseconds; 0 if unknown.
 	StartedMs int64
+	// Sequence counts the entries that the member has written since its start.
+	Sequence uint64
+}
+
+// isBefore reports whether the entry is an earlier one of the same process than other.
+func (m Member) isBefore(other Member) bool {
+	return m.StartedMs == other.StartedMs && m.StartedMs != 0 && m.Sequence < other.Sequence
 }
 
 // Instance is an instance's own entry in the store.
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -101,6 +101,28 @@
 	g.Expect(store.duty.IsVoid()).To(BeFalse())
 }
 
+// The copy listed a member as ready that had reported to be draining.
+func TestRestoredListKeepsMembersDraining(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestInstance("a", nil).controller
+	entry := func(id string, started int64, sequence uint64, draining bool) Change[Member] {
+		return Change[Member]{Key: id, Value: Member{ID: id, Group: "g", StartedMs: started, Sequence: sequence, Draining: draining}}
+	}
+	before, after := revision.New(0, 9), revision.New(1, 7)
+	c.applyMembers([]Change[Member]{entry("draining", 5, 8, true), entry("gone", 5, 8, true), entry("new", 7, 2, false)}, true, before)
+	c.applyMembers([]Change[Member]{removed("gone")}, false, before+1)
+
+	c.applyMembers([]Change[Member]{entry("draining", 5, 4, false), entry("gone", 5, 4, false)}, true, after)
+	g.Expect(c.members.Entries()["draining"].Draining).To(BeTrue())
+	g.Expect(c.members.UnlistedSince()).To(HaveKey("gone"))
+	g.Expect(c.members.UnlistedSince()).NotTo(HaveKey("draining"))
+	g.Expect(c.members.UnlistedSince()).To(HaveKey("new"), "its entry is used for a while, until it is written again")
+
+	c.applyMembers([]Change[Member]{entry("draining", 9, 1, false), entry("new", 7, 3, false)}, false, after+1)
+	g.Expect(c.members.Entries()["draining"].Draining).To(BeFalse(), "a new process has the same ID")
+	g.Expect(c.members.UnlistedSince()).NotTo(HaveKey("new"))
+}
+
 // A follower kept the list of the former era, whose revision was a higher version.
 func TestFollowerFetchesTheListOfTheNextEra(t *testing.T) {
 	g := NewWithT(t)
