Write the entries of instances again that a restored store has lost

What callers may see: an instance that starts after the restoration does not find those whose entries are lost and admits whole limits until it hears of them.

Cause: an instance looks for its own entry every 20 s, and in a large fleet not at all while a collector answers.

Change: the instances are listed as soon as the restoration is noticed. The collector of a zone writes the entries of live instances of its zone that a listing lacks; the others list none, so that a return costs calls only for what is missing. An entry of a former process in a copy does not replace a live one.

--- a/pkg/gateway/eras.go
+++ b/pkg/gateway/eras.go
@@ -60,6 +60,7 @@
 	}
 	interruptPoll(g.interruptOperatorsPoll)
 	interruptPoll(g.interruptMembersPoll)
+	interruptPoll(g.relistInstances)
 }
 
 // observePeerEra records the era that a peer has known for the given time.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -80,8 +80,9 @@
 	draining        atomic.Bool
 	running         sync.WaitGroup
 	// A value sent to these channels interrupts the long poll for the
-	// operators' entries or the members.
-	interruptOperatorsPoll, interruptMembersPoll chan struct{}
+	// operators' entries or the members, or the wait before the instances are
+	// listed again.
+	interruptOperatorsPoll, interruptMembersPoll, relistInstances chan struct{}
 	// storeAnsweredAt is when the last call was sent that the store answered, on the clock
 	// of bootTime; 0 for never.
 	storeAnsweredAt atomic.Int64
@@ -108,7 +109,7 @@
 	g := &Gateway{
 		cfg: cfg, started: time.Now().UnixMilli(), log: cfg.Log,
 		pools: map[string]*pool{}, sessions: map[*session]bool{},
-		interruptOperatorsPoll: make(chan struct{}, 1), interruptMembersPoll: make(chan struct{}, 1),
+		interruptOperatorsPoll: make(chan struct{}, 1), interruptMembersPoll: make(chan struct{}, 1), relistInstances: make(chan struct{}, 1),
 	}
 	g.configLease.MaxAge = cfg.RevocationBound - configLeaseMargin
 	g.relayedSessions.sessions = map[string]*relayedSession{}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -129,10 +129,32 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, c := range entries {
-		if c.Err == nil && c.Value.ID == c.Key && c.Key != ps.gw.cfg.ID {
-			ps.upsert(c.Value)
+		if c.Err != nil || c.Value.ID != c.Key || c.Key == ps.gw.cfg.ID {
+			continue
+		}
+		if p := ps.byID[c.Key]; p != nil && p.Started > c.Value.Started && time.Since(p.lastHeard) < peerAliveTimeout {
+			continue // the entry of a former process, from a copy of the store
+		}
+		ps.upsert(c.Value)
+	}
+}
+
+// unlisted returns the live instances of this instance's zone that are missing in a listing.
+func (ps *peers) unlisted(listing []Change[Instance]) []Instance {
+	listed := make(map[string]bool, len(listing))
+	for i := range listing {
+		listed[listing[i].Key] = true
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	now := time.Now()
+	var out []Instance
+	for id, p := range ps.byID {
+		if !listed[id] && p.Zone == ps.gw.cfg.Zone && !p.leaving && now.Sub(p.lastHeard) < peerAliveTimeout {
+			out = append(out, p.Instance)
 		}
 	}
+	return out
 }
 
 // upsert adds or updates a peer. The caller holds ps.mu.
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -171,3 +173,62 @@
 	_, confirmed := follower.gw.configLeaseAge()
 	g.Expect(confirmed).To(BeFalse())
 }
+
+// listingStore lists the instances registered in it.
+type listingStore struct {
+	Store
+	mu      sync.Mutex
+	entries []Change[Instance]
+}
+
+func (s *listingStore) PutInstance(_ context.Context, i Instance) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = append(s.entries, Change[Instance]{Key: i.ID, Value: i})
+	return nil
+}
+
+func (s *listingStore) Instances() Table[Instance] { return s }
+
+func (s *listingStore) List(context.Context) (Batch[Instance], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Batch[Instance]{Changes: slices.Clone(s.entries)}, nil
+}
+
+func (s *listingStore) Await(context.Context, revision.Revision, time.Duration) (Batch[Instance], error) {
+	return Batch[Instance]{}, nil
+}
+
+func (s *listingStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries)
+}
+
+// The entries of instances that had registered after the copy was made stayed lost, since
+// in a large fleet only the collectors list the instances.
+func TestCollectorRegistersInstancesThatTheStoreHasLost(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(t, 24, 3)
+	id, _ := fleet[0].collector()
+	collector := byID(fleet, id)
+	collector.mu.Lock()
+	for _, p := range collector.byID {
+		p.lastHeard = time.Now()
+	}
+	collector.mu.Unlock()
+	collector.noteListing()
+	store := &listingStore{}
+	collector.gw.cfg.Store = store
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go collector.gw.watchInstances(ctx)
+	g.Eventually(store.count, 5*time.Second).Should(Equal(8), "its zone")
+	store.mu.Lock()
+	store.entries = nil
+	store.mu.Unlock()
+	collector.gw.observeEra(0)
+	collector.gw.observeEra(1)
+	g.Eventually(store.count, 2*time.Second).Should(Equal(8), "without waiting for the next listing")
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -488,9 +488,13 @@
 		cancel()
 		g.peers.applyListing(batch.Changes)
 		if err == nil && !g.draining.Load() && !slices.ContainsFunc(batch.Changes, func(c Change[Instance]) bool { return c.Key == g.cfg.ID }) {
-			// The others took this instance for lost, for example during a partition.
+			// The others took this instance for lost, for example during a partition, or
+			// the store was restored from a copy that lacks the entry.
 			g.register(ctx)
 		}
+		if err == nil {
+			g.registerUnlisted(ctx, batch.Changes)
+		}
 		if first && err == nil && g.cfg.FirstStart {
 			// All instances register at about the same time. What this listing shows is
 			// used, since an instance that knows no other admits whole limits; whether the
@@ -506,9 +510,37 @@
 			continue
 		}
 		retry = maxStoreRetryDelay
-		sleep(ctx, instancesListInterval)
-		for ctx.Err() == nil && g.peers.followsCollector() {
-			sleep(ctx, followCheckInterval) // the collector names all instances
+		g.awaitInstancesListing(ctx)
+	}
+}
+
+// awaitInstancesListing waits until the instances are to be listed again.
+func (g *Gateway) awaitInstancesListing(ctx context.Context) {
+	timer := time.NewTimer(instancesListInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-g.relistInstances:
+	}
+	for ctx.Err() == nil && g.peers.followsCollector() {
+		sleep(ctx, followCheckInterval) // the collector names all instances
+	}
+}
+
+// registerUnlisted writes the entries of live instances that are missing in a listing. The
+// collector of a zone does so for the instances that follow it, which list none themselves.
+func (g *Gateway) registerUnlisted(ctx context.Context, listing []Change[Instance]) {
+	if _, isCollector := g.peers.collector(); !isCollector || g.draining.Load() {
+		return
+	}
+	for _, i := range g.peers.unlisted(listing) {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		err := g.cfg.Store.PutInstance(ctx, i)
+		cancel()
+		if err != nil {
+			g.log.WithFields(logrus.Fields{"event": "register", "peer": i.ID}).WithError(err).Warn("cannot register a live instance; retrying at the next listing")
+			return
 		}
 	}
 }
