Let a holder act after a restoration once all others have been heard

Cause: the holder waited out the platform's interval between holders, since another one might have claimed and acted on a claim that is lost.

Change: the holder asks all peers when it notices the restoration. If all of them have answered since, it knows of such a holder and need not wait. In a large fleet, where states pass through collectors, it still waits.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -373,11 +373,12 @@
 
 // mayAct reports whether this instance holds the promotion lease and may act on it. After
 // the store was restored, the claim must have been made again, and another holder may have
-// acted just before although its claim is lost.
+// acted just before although its claim is lost. An instance that has heard from all others
+// since then knows of that holder.
 func (c *controller) mayAct() bool {
 	duty, self, _ := c.gw.peers.dutyHolder()
 	era, age := c.gw.eras.knownFor()
-	return self && duty.Token.Era() == era && age >= minDutyTenure
+	return self && duty.Token.Era() == era && (age >= minDutyTenure || c.gw.peers.heardFromAll(age))
 }
 
 // awaitDuty renews this instance's claim and returns it once the instance may act on it.
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -500,6 +500,7 @@
 	if self && duty.Token.Era() < c.gw.eras.current() {
 		if !c.claiming && now.Sub(c.lastClaimAt) >= claimRetryInterval {
 			c.startClaim(now, func() { c.renewDuty(ctx) })
+			c.gw.peers.askAll(ctx)
 		}
 		return
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"hash/maphash"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -259,6 +260,33 @@
 	return true
 }
 
+// askAll exchanges states with all peers, except in a large fleet.
+func (ps *peers) askAll(ctx context.Context) {
+	if collector, _ := ps.collector(); collector != "" {
+		return
+	}
+	ps.mu.Lock()
+	due := slices.Collect(maps.Values(ps.byID))
+	ps.mu.Unlock()
+	ps.exchangeAll(ctx, due, workspaceSet{})
+}
+
+// heardFromAll reports whether all known peers have sent their states within the time. In
+// a large fleet the collectors pass on who lives, but not the states.
+func (ps *peers) heardFromAll(within time.Duration) bool {
+	if collector, _ := ps.collector(); collector != "" {
+		return false
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.byID {
+		if !p.leaving && time.Since(p.lastHeard) >= within {
+			return false
+		}
+	}
+	return true
+}
+
 // collectorView returns the instances among which collectors are chosen, or nil in a
 // small fleet. Instances that consider the same peers healthy choose the same collectors.
 func (ps *peers) collectorView() *fleetView {
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/revision"
+	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
 // ageEra makes the instance know the present era for the time.
@@ -54,6 +55,9 @@
 	g := NewWithT(t)
 	store := &dutyStore{}
 	a := newTestInstance("a", store)
+	a.peers.mu.Lock()
+	a.peers.upsert(Instance{ID: "b", Started: 1}).lastHeard = time.Now()
+	a.peers.mu.Unlock()
 	store.duty = Duty{Holder: "a", Started: a.started, Token: 9}
 	a.peers.updateDuty(store.duty)
 	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
@@ -67,6 +71,10 @@
 	g.Expect(store.duty.Holder).To(Equal("a"))
 	g.Expect(store.duty.IsVoid()).To(BeFalse())
 	g.Expect(a.controller.mayAct()).To(BeFalse(), "another holder may have acted just before the restoration")
+	a.peers.observeState(&pb.State{Id: "b", Started: 1})
+	g.Expect(a.controller.mayAct()).To(BeTrue(), "all others have told which holder they know")
+	a.peers.byID["b"].lastHeard = time.Now().Add(-time.Minute)
+	g.Expect(a.controller.mayAct()).To(BeFalse())
 	ageEra(a, minDutyTenure)
 	g.Expect(a.controller.mayAct()).To(BeTrue())
 }
