Restore the store from copies in the soak

The soak restores the store from a copy of up to 9 s ago, after an outage of up to 4 s; operators and members write again what is lost within 2 s. Other programs write to the store meanwhile. New checks: the last configuration is in force on all instances within 3 s, no two holders use one fencing token, and an instance makes at most 40 calls to the store a second.

--- a/cmd/devsoak/main.go
+++ b/cmd/devsoak/main.go
@@ -19,6 +19,9 @@
 	"github.com/mulberrysill/mulberrysill/test/soak"
 )
 
+// maxInstances bounds the processes of a run.
+const maxInstances = 150
+
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "devsoak:", err)
@@ -29,6 +32,8 @@
 func command() *cobra.Command {
 	var seed, count uint64
 	var duration time.Duration
+	var instances int
+	var binaries []string
 	cmd := &cobra.Command{
 		Use:           "devsoak",
 		Short:         "Run the soak test: inject faults into real instances and check the guarantees",
@@ -41,30 +46,44 @@
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "first seed")
 	cmd.Flags().Uint64Var(&count, "count", 1, "number of consecutive seeds to run")
 	cmd.Flags().DurationVar(&duration, "duration", 20*time.Second, "time during which faults are started")
+	cmd.Flags().IntVar(&instances, "instances", 4, "number of instances; above 16 they exchange states through collectors")
+	cmd.Flags().StringSliceVar(&binaries, "binary", nil, "builds of mulberrygate that the instances run in turn (default: the present sources)")
 	cmd.RunE = func(*cobra.Command, []string) error {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
-		return runAll(ctx, seed, count, duration)
+		if instances < 1 || instances > maxInstances {
+			return errors.Newf("--instances: %d is not between 1 and %d", instances, maxInstances)
+		}
+		return runAll(ctx, seed, count, soak.Options{Duration: duration, Instances: instances, Binaries: binaries})
 	}
 	return cmd
 }
 
-func runAll(ctx context.Context, first, count uint64, duration time.Duration) error {
+func runAll(ctx context.Context, first, count uint64, options soak.Options) error {
 	directory, err := os.MkdirTemp("", "mulberrysill-soak-")
 	if err != nil {
 		return err
 	}
 	binary := filepath.Join(directory, "mulberrygate")
+	if len(options.Binaries) > 0 {
+		return runSeeds(ctx, directory, first, count, options)
+	}
+	options.Binaries = []string{binary}
 	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/mulberrysill/mulberrysill/cmd/mulberrygate").CombinedOutput(); err != nil {
 		return errors.Wrapf(err, "build: %s", out)
 	}
+	return runSeeds(ctx, directory, first, count, options)
+}
+
+func runSeeds(ctx context.Context, directory string, first, count uint64, options soak.Options) error {
 	failed := 0
 	for seed := first; seed < first+count && ctx.Err() == nil; seed++ {
 		logs := filepath.Join(directory, fmt.Sprintf("seed-%d", seed))
 		if err := os.Mkdir(logs, 0o700); err != nil {
 			return err
 		}
-		result, err := soak.Run(ctx, soak.Options{Seed: seed, Duration: duration, Binary: binary, Directory: logs})
+		options.Seed, options.Directory = seed, logs
+		result, err := soak.Run(ctx, options)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -32,7 +31,7 @@
 type deployment struct {
 	store      *standin.Store
 	group      *standin.Group
-	promotions *httptest.Server
+	promotions *standin.PromotionServer
 	config     standin.Config
 	instances  []*instance
 }
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -83,6 +83,16 @@
 			s.store.SetDown(false)
 			return nil
 		}, nil
+	case StoreRestored:
+		older := s.copies.before(time.Now().Add(-f.CopyAge))
+		s.store.SetDown(true)
+		return func() error {
+			s.store.Restore(older)
+			s.store.SetDown(false)
+			time.Sleep(f.RewriteDelay)
+			s.rewrite()
+			return nil
+		}, nil
 	case StoreCompacted:
 		s.store.CompactHistory()
 		return none, nil
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -37,6 +38,7 @@
 	StoreResponsesDropped    Kind = "answers of the store lost"
 	MalformedRows            Kind = "garbage rows in the store"
 	KeyRevoked               Kind = "key withdrawn"
+	StoreRestored            Kind = "store restored from a copy"
 )
 
 var kinds = []Kind{
@@ -48,7 +50,7 @@
 }
 
 // Kinds returns all kinds of faults.
-func Kinds() []Kind { return slices.Clone(kinds) }
+func Kinds() []Kind { return append(slices.Clone(kinds), StoreRestored) }
 
 // Fault is one fault of a plan.
 type Fault struct {
@@ -60,6 +62,9 @@
 	// ToUpstream is set if a one-way link blocks the direction to the upstream
 	// server.
 	ToUpstream bool
+	// CopyAge is the age of the copy from which the store is restored, and RewriteDelay
+	// the time until the operators and the members have written again what it lacks.
+	CopyAge, RewriteDelay time.Duration
 }
 
 func (f Fault) String() string {
@@ -74,12 +79,38 @@
 	// maxFaultInterval limits the time between the starts of two faults. Shorter
 	// faults follow one another and longer ones overlap.
 	maxFaultInterval = 2 * time.Second
+	// maxRestorationInterval limits the time between two restorations of the store, and
+	// maxRestorationOutage the time for which it does not answer.
+	maxRestorationInterval, maxRestorationOutage = 14 * time.Second, 4 * time.Second
+	// maxCopyAge limits the age of a copy. Lost entries are written again within
+	// maxRewriteDelay; members that reach the store do so within two seconds.
+	maxCopyAge, maxRewriteDelay = 9 * time.Second, 2 * time.Second
 )
 
 // Plan draws faults that start within the given time. Members are killed one at a
 // time: a commit needs the acknowledgement of only one replica, so that losing two
 // members at once may lose acknowledged data by the rules of the platform.
-func Plan(seed uint64, within time.Duration) []Fault {
+func Plan(seed uint64, within time.Duration, instances int) []Fault {
+	plan := planFaults(seed, within, instances)
+	// Restorations have a generator of their own, so that the seeds draw the other
+	// faults as they did before there were restorations.
+	rng := rand.New(rand.NewPCG(seed, seed+1))
+	for at := upTo(rng, maxRestorationInterval); at < within; at += upTo(rng, maxRestorationInterval) {
+		f := Fault{
+			Kind: StoreRestored, From: at, Until: at + upTo(rng, maxRestorationOutage),
+			CopyAge: upTo(rng, maxCopyAge), RewriteDelay: upTo(rng, maxRewriteDelay),
+		}
+		if !overlapsOnResource(plan, f) {
+			plan = append(plan, f)
+		}
+		at = f.Until + f.RewriteDelay
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.From, b.From) })
+	return plan
+}
+
+// planFaults draws all faults but restorations of the store.
+func planFaults(seed uint64, within time.Duration, instances int) []Fault {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	var plan []Fault
 	var membersUntil time.Duration
@@ -88,7 +119,7 @@
 			Kind: kinds[rng.IntN(len(kinds))], From: at,
 			Until: at + minFaultDuration + upTo(rng, maxFaultDuration-minFaultDuration), ToUpstream: rng.IntN(2) == 0,
 		}
-		f.Target = rng.IntN(instanceCount)
+		f.Target = rng.IntN(instances)
 		if f.targetsMember() {
 			f.Target = rng.IntN(memberCount)
 		}
@@ -137,6 +168,8 @@
 		return fmt.Sprintf("link of instance %d", f.Target)
 	case MemberUnresponsive, StoreLinkFrozen:
 		return fmt.Sprintf("%s %d", f.Kind, f.Target)
+	case StoreRestored:
+		return string(StoreDown)
 	default:
 		return string(f.Kind)
 	}
@@ -144,6 +177,6 @@
 
 func overlapsOnResource(plan []Fault, f Fault) bool {
 	return slices.ContainsFunc(plan, func(other Fault) bool {
-		return other.resource() == f.resource() && f.From < other.Until
+		return other.resource() == f.resource() && f.From < other.Until && other.From < f.Until
 	})
 }
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -30,6 +30,11 @@
 	// the platform's tolerance of a tenth plus 20 operations.
 	quotaWindow = 5 * time.Second
 	quotaLimit  = (smallRate*5+smallBurst)*11/10 + 20
+	// configBound is the time within which a configuration must be in force.
+	configBound = 3 * time.Second
+	// maxCallsPerSecond limits the calls of an instance to the store: each of its watches
+	// retries after 100 ms at first.
+	maxCallsPerSecond = 40
 	// maxViolations limits the violations that a run reports.
 	maxViolations = 20
 )
@@ -39,8 +44,12 @@
 	Seed uint64
 	// Duration is the time during which faults are started.
 	Duration time.Duration
-	// Binary is the path of mulberrygate. Directory receives the settings and logs.
-	Binary, Directory string
+	// Instances is the number of instances; 0 means 4.
+	Instances int
+	// Binaries are the paths of builds of mulberrygate, which the instances run in turn.
+	Binaries []string
+	// Directory receives the settings and logs.
+	Directory string
 }
 
 // Result is the outcome of a run.
@@ -74,7 +83,10 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{options: o, paused: map[string]time.Time{}, resumed: map[string]time.Time{}}
 	var err error
-	r.cluster, err = startCluster(o.Directory, o.Binary)
+	if o.Instances == 0 {
+		o.Instances = defaultInstances
+	}
+	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances)
 	if r.cluster != nil {
 		defer r.cluster.close()
 	}
@@ -97,16 +109,23 @@
 	clients.Go(r.probeRevokedKey)
 	var watch sync.WaitGroup
 	watch.Go(r.watchProcesses)
-	err = r.inject(ctx, Plan(o.Seed, o.Duration))
+	watch.Go(r.watchStore)
+	err = r.inject(ctx, Plan(o.Seed, o.Duration, o.Instances))
 	if err == nil && !r.awaitServing(recoveryTimeout) {
 		r.reportViolation("not all instances serve requests %s after the last fault", recoveryTimeout)
 	}
+	if err == nil {
+		r.checkConfiguration()
+	}
 	r.mu.Lock()
 	r.stop = true
 	r.mu.Unlock()
 	clients.Wait()
 	watch.Wait()
 	r.checkWrites(all)
+	if n := r.cluster.promotions.SharedTokens(); n > 0 {
+		r.reportViolation("%d promotions were ordered with a token of another holder", n)
+	}
 	r.checkQuota()
 	r.checkLogs()
 	return r.result, err
@@ -230,7 +249,7 @@
 func (r *run) runHotClient(n int) {
 	id := idSource{prefix: fmt.Sprintf("hot%d", n)}
 	for i := n; !r.stopping(); i++ {
-		s, _ := openSession(r.cluster.instances[i%instanceCount], standin.StrictDatabase, smallKey, &id)
+		s, _ := openSession(r.cluster.instances[i%len(r.cluster.instances)], standin.StrictDatabase, smallKey, &id)
 		if s == nil {
 			time.Sleep(thinkTime)
 			continue
@@ -255,8 +274,8 @@
 // and on new ones.
 func (r *run) probeRevokedKey() {
 	id := idSource{prefix: "probe"}
-	sessions := make([]*session, instanceCount)
-	for i := 0; !r.stopping(); i = (i + 1) % instanceCount {
+	sessions := make([]*session, len(r.cluster.instances))
+	for i := 0; !r.stopping(); i = (i + 1) % len(sessions) {
 		if sessions[i] == nil {
 			sessions[i], _ = openSession(r.cluster.instances[i], standin.BoundedDatabase, revocableKey, &id)
 		}
@@ -298,6 +317,46 @@
 	}
 }
 
+// watchStore copies the store, writes to it as other programs do, and reports storms of
+// calls.
+func (r *run) watchStore() {
+	store := r.cluster.store
+	limit := maxCallsPerSecond * len(r.cluster.instances)
+	for reported := false; !r.stopping(); {
+		started, before := time.Now(), store.Calls()
+		for time.Since(started) < time.Second {
+			r.cluster.copies.add(store)
+			store.Put("other", "row", started.UnixNano())
+			time.Sleep(copyInterval)
+		}
+		if n := store.Calls() - before; n > limit && !reported {
+			reported = true
+			r.reportViolation("%d calls to the store in a second, limit %d", n, limit)
+		}
+	}
+}
+
+// checkConfiguration checks that a configuration is in force on all instances in time.
+func (r *run) checkConfiguration() {
+	r.cluster.publishKey(lastKey)
+	deadline := time.Now().Add(configBound)
+	id := idSource{prefix: "config"}
+	for _, in := range r.cluster.instances {
+		for {
+			s, a := openSession(in, standin.BoundedDatabase, lastKey, &id)
+			if s != nil {
+				s.close()
+				break
+			}
+			if time.Now().After(deadline) {
+				r.reportViolation("%s: a configuration is not in force after %s: %s", in.name, configBound, a.text)
+				break
+			}
+			time.Sleep(thinkTime)
+		}
+	}
+}
+
 // checkWrites compares the responses that clients received with the commits that the
 // group holds.
 func (r *run) checkWrites(all []*worker) {
@@ -342,7 +401,7 @@
 		if log == "" {
 			r.reportViolation("the log of %s is empty", in.name)
 		}
-		for _, key := range []string{stableKey, revocableKey, smallKey} {
+		for _, key := range []string{stableKey, revocableKey, smallKey, lastKey} {
 			if strings.Contains(log, key) {
 				r.reportViolation("the log of %s contains the key %q", in.name, key)
 			}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,7 +42,7 @@
 	binary := filepath.Join(directory, "mulberrygate")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/mulberrysill/mulberrysill/cmd/mulberrygate").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
-	result, err := soak.Run(t.Context(), soak.Options{Seed: seed, Duration: duration, Binary: binary, Directory: directory})
+	result, err := soak.Run(t.Context(), soak.Options{Seed: seed, Duration: duration, Binaries: []string{binary}, Directory: directory})
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, line := range result.Timeline {
 		t.Log(line)
@@ -70,7 +70,7 @@
 	g := NewWithT(t)
 	for seed := range uint64(200) {
 		var until time.Duration
-		for _, f := range soak.Plan(seed, time.Minute) {
+		for _, f := range soak.Plan(seed, time.Minute, 4) {
 			if f.Kind == soak.MemberKilled {
 				g.Expect(f.From).To(BeNumerically(">=", until), "seed %d", seed)
 				until = f.Until
@@ -83,8 +83,8 @@
 // faults.
 func TestPlanFollowsFromTheSeed(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(soak.Plan(7, time.Minute)).To(Equal(soak.Plan(7, time.Minute)))
-	g.Expect(soak.Plan(7, time.Minute)).NotTo(Equal(soak.Plan(8, time.Minute)))
+	g.Expect(soak.Plan(7, time.Minute, 4)).To(Equal(soak.Plan(7, time.Minute, 4)))
+	g.Expect(soak.Plan(7, time.Minute, 4)).NotTo(Equal(soak.Plan(8, time.Minute, 4)))
 }
 
 // TestPlansHoldAllKinds guards against a kind of fault that is never drawn, and so
@@ -93,7 +93,7 @@
 	g := NewWithT(t)
 	seen := map[soak.Kind]bool{}
 	for seed := range uint64(200) {
-		for _, f := range soak.Plan(seed, time.Minute) {
+		for _, f := range soak.Plan(seed, time.Minute, 4) {
 			seen[f.Kind] = true
 		}
 	}
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +16,12 @@
 )
 
 const (
-	instanceCount, memberCount = 4, 3
+	// defaultInstances is the usual number of instances.
+	defaultInstances, memberCount = 4, 3
+	// zoneCount is the number of availability zones over which more instances are spread.
+	zoneCount = 3
+	// copyInterval is the interval at which the store is copied.
+	copyInterval = 200 * time.Millisecond
 	// maxConnections limits the connections to a member, as in the Armação deployment.
 	maxConnections = 60
 	// revocationBound is the time within which a revoked key must stop working.
@@ -24,15 +29,15 @@
 	// replicaLag is the delay after which replicas show a commit.
 	replicaLag = 30 * time.Millisecond
 
-	stableKey, revocableKey, smallKey = "Zq7stable", "Zq7withdrawn", "Zq7small"
-	smallRate, smallBurst             = 40, 40
+	stableKey, revocableKey, smallKey, lastKey = "Zq7stable", "Zq7withdrawn", "Zq7small", "Zq7last"
+	smallRate, smallBurst                      = 40, 40
 )
 
 // instance is a mulberrygate process.
 type instance struct {
 	*stack.Process
-	name, address, readiness string
-	peers, store             *stack.Link
+	name, zone, address, readiness string
+	peers, store                   *stack.Link
 	// exitExpected is set while the soak itself stops the process.
 	exitExpected bool
 }
@@ -42,13 +47,48 @@
 	directory  string
 	store      *standin.Store
 	group      *standin.Group
-	promotions *httptest.Server
+	promotions *standin.PromotionServer
 	links      []*stack.Link
 	instances  []*instance
-	config     standin.Config
+	copies     copies
+	// configMu is held while a configuration is written.
+	configMu sync.Mutex
+	config   standin.Config // guarded by configMu
 }
 
-func startCluster(directory, binary string) (*cluster, error) {
+// copies holds the copies of the store of the last seconds.
+type copies struct {
+	mu   sync.Mutex
+	list []storeCopy // guarded by mu
+}
+
+type storeCopy struct {
+	at time.Time
+	standin.Copy
+}
+
+// add adds a copy and drops those that are too old for any fault.
+func (c *copies) add(s *standin.Store) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = append(c.list, storeCopy{time.Now(), s.Copy()})
+	for len(c.list) > 1 && time.Since(c.list[1].at) > maxCopyAge {
+		c.list = c.list[1:]
+	}
+}
+
+// before returns the last copy made before the time, or the oldest one.
+func (c *copies) before(at time.Time) standin.Copy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := len(c.list) - 1
+	for i > 0 && c.list[i].at.After(at) {
+		i--
+	}
+	return c.list[i].Copy
+}
+
+func startCluster(directory string, binaries []string, instances int) (*cluster, error) {
 	group, err := standin.NewGroup("orders", memberCount, maxConnections)
 	if err != nil {
 		return nil, err
@@ -60,6 +100,7 @@
 		{Name: "small", Keys: []string{smallKey}, Rate: smallRate, Burst: smallBurst},
 	}}
 	s.store.PutConfig(s.config)
+	s.copies.add(s.store)
 	server := stack.NewFaultServer()
 	for _, m := range group.Members() {
 		link, err := stack.NewLink(server, m.ID, m.Address())
@@ -69,13 +110,16 @@
 		s.links = append(s.links, link)
 	}
 	s.registerMembers()
-	for i := range instanceCount {
+	for i := range instances {
 		name := fmt.Sprintf("gate-%d", i)
 		addresses, err := ports.Free(3)
 		if err != nil {
 			return s, err
 		}
-		in := &instance{name: name, address: addresses[0], readiness: addresses[1]}
+		in := &instance{name: name, zone: "z1", address: addresses[0], readiness: addresses[1]}
+		if instances > defaultInstances {
+			in.zone = fmt.Sprintf("z%d", i%zoneCount+1)
+		}
 		in.peers, err = stack.NewLink(server, name+"-peers", addresses[2])
 		if err != nil {
 			return s, err
@@ -84,7 +128,7 @@
 			return s, err
 		}
 		s.instances = append(s.instances, in)
-		if err := s.startInstance(in, addresses[2], binary); err != nil {
+		if err := s.startInstance(in, addresses[2], binaries[i%len(binaries)]); err != nil {
 			return s, err
 		}
 	}
@@ -93,7 +137,7 @@
 
 func (s *cluster) startInstance(in *instance, peerAddress, binary string) error {
 	settings, err := yaml.Marshal(map[string]any{
-		"id": in.name, "zone": "z1", "clientAddress": in.address, "readinessAddress": in.readiness,
+		"id": in.name, "zone": in.zone, "clientAddress": in.address, "readinessAddress": in.readiness,
 		"peerAddress": peerAddress, "peerAdvertisedAddress": in.peers.Addr(), "storeAddress": in.store.Addr(),
 		"dutyAddress": s.promotions.Listener.Addr().String(), "firstStart": true,
 		"revocationBound": revocationBound.String(), "gracePeriod": "4s",
@@ -135,6 +179,8 @@
 
 // publishKeys writes a configuration with or without the revocable key.
 func (s *cluster) publishKeys(revoked bool) {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	s.config.Version++
 	s.config.Workspaces[0].Keys = []string{stableKey, revocableKey}
 	if revoked {
@@ -143,6 +189,24 @@
 	s.store.PutConfig(s.config)
 }
 
+// publishKey writes a configuration with one more key.
+func (s *cluster) publishKey(key string) {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	s.config.Version++
+	s.config.Workspaces[0].Keys = append(s.config.Workspaces[0].Keys, key)
+	s.store.PutConfig(s.config)
+}
+
+// rewrite writes again what the operators and the members have written, as they do after
+// the store was restored.
+func (s *cluster) rewrite() {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	s.store.PutConfig(s.config)
+	s.registerMembers()
+}
+
 func (s *cluster) close() {
 	for _, in := range s.instances {
 		if in.Process != nil {
--- a/test/soak/worker.go
+++ b/test/soak/worker.go
@@ -64,7 +64,7 @@
 // runSessions runs sessions until the run stops.
 func (w *worker) runSessions() {
 	for !w.run.stopping() {
-		in := w.run.cluster.instances[w.rng.IntN(instanceCount)]
+		in := w.run.cluster.instances[w.rng.IntN(len(w.run.cluster.instances))]
 		database := []string{standin.StrictDatabase, standin.ReadYourWritesDatabase, standin.BoundedDatabase}[w.rng.IntN(3)]
 		s, a := openSession(in, database, stableKey, &w.id)
 		if s == nil {
