Spread the instances' polls for configurations

Cause: a change ends the polls of all instances at once. From then on they poll in step, so that the confirmations of all are equally old, up to two waits, and none has a younger one for the others.

Change: after a change, a listing or an outage the instances divide the first wait between them by their rank. This costs at most one call a change and instance.

--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/membership"
 	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
@@ -275,11 +276,23 @@
 	entries := map[string]OperatorEntry{}
 	var newest revision.Revision
 	var writes catalog.WriteLog
-	w := watcher[OperatorEntry]{name: "operators", table: g.cfg.Store.Operators(), pollWait: g.operatorsPollTimeout, log: g.log, interrupt: g.interruptOperatorsPoll, suspended: g.peers.followsForConfig}
+	w := watcher[OperatorEntry]{name: "operators", table: g.cfg.Store.Operators(), log: g.log, interrupt: g.interruptOperatorsPoll, suspended: g.peers.followsForConfig}
 	w.currentEra, w.observeEra, w.listDelay = g.eras.current, g.observeEra, g.listDelay
+	aligned := true
+	w.pollWait = func() time.Duration {
+		if aligned {
+			aligned = false
+			return g.spreadPollTimeout()
+		}
+		return g.operatorsPollTimeout()
+	}
 	// A longer poll for members sent during the outage may still hang.
-	w.onRecovered = func() { interruptPoll(g.interruptMembersPoll) }
+	w.onRecovered = func() {
+		aligned = true
+		interruptPoll(g.interruptMembersPoll)
+	}
 	w.apply = func(batch Batch[OperatorEntry], complete bool, asked time.Duration) {
+		aligned = aligned || complete || len(batch.Changes) > 0
 		g.noteStoreAnswer(asked)
 		if complete {
 			entries = map[string]OperatorEntry{}
@@ -425,6 +438,23 @@
 	}
 }
 
+// spreadPollTimeout returns the wait of the first poll after an event that ends or begins
+// the polls of all instances at the same time, as a change does. The instances divide the
+// usual wait between them, so that some of them always have a recent confirmation for the
+// others.
+func (g *Gateway) spreadPollTimeout() time.Duration {
+	wait := g.operatorsPollTimeout()
+	if few, _ := g.peers.storeReaders(); few {
+		return wait
+	}
+	live := g.peers.liveInstances().instances
+	rank := slices.IndexFunc(live, func(i membership.Instance) bool { return i.ID == g.cfg.ID })
+	if rank < 0 {
+		return wait // this instance is leaving
+	}
+	return wait * time.Duration(rank+1) / time.Duration(len(live))
+}
+
 // watchMembers follows the platform's list of members.
 func (g *Gateway) watchMembers(ctx context.Context) {
 	w := watcher[Member]{name: "members", table: g.cfg.Store.Members(), log: g.log, interrupt: g.interruptMembersPoll, relist: &g.relistMembers}
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -234,3 +234,19 @@
 	go gw.watchInstances(ctx)
 	g.Consistently(leaving.registered.Load, 2*secondListingDelay).Should(BeNumerically("<=", 1), "an instance that leaves has removed its entry")
 }
+
+// A change ended the polls of all instances at once. From then on they were confirmed at
+// the same moments, and 2 s after the store was lost all of them refused keys.
+func TestPollsAreSpreadAfterAChange(t *testing.T) {
+	g := NewWithT(t)
+	const instances = 6
+	waits := map[time.Duration]bool{}
+	for _, ps := range fleetOf(t, instances, 3) {
+		waits[ps.gw.spreadPollTimeout()] = true
+	}
+	for n := range instances {
+		g.Expect(waits).To(HaveKey(operatorsPollWait * time.Duration(n+1) / instances))
+	}
+	large := fleetOf(t, 24, 3)[5].gw
+	g.Expect(large.spreadPollTimeout()).To(Equal(large.operatorsPollTimeout()))
+}
