Record in the store that an era has settled

Cause: an instance that starts cannot know how old the era is, and no peer was left to tell.

An instance that starts in a restored store reads the record once. A copy never names an era that began with its restoration.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -80,7 +80,12 @@
 	lastClaimAt  time.Time
 	relistedAt   time.Time
 	claiming     bool
-	startedAt    time.Time
+	// recordedEra is the last era that this instance has recorded as settled, and
+	// recordingEra is set while it does so.
+	recordedEra      uint64
+	recordingEra     bool
+	eraRecordTriedAt time.Time
+	startedAt        time.Time
 }
 
 // groupState is the controller's state of one group.
@@ -229,6 +234,7 @@
 	c.updatePools()
 	c.reportUnusableGroups(time.Now())
 	c.ensureDutyHolder(ctx)
+	c.recordSettledEra(ctx, time.Now())
 	c.gw.forEachPool(func(p *pool) {
 		p.tick(ctx)
 		c.watchPrimary(ctx, p)
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -182,6 +182,10 @@
 	// returned from. It returns ErrConflict if it has changed, or if the store has
 	// been restored since.
 	ClaimDuty(ctx context.Context, from Duty, holder string, started int64) (Duty, error)
+	// SettledEra returns the last era of which PutSettledEra has recorded that it has
+	// settled; 0 if none.
+	SettledEra(ctx context.Context) (uint64, error)
+	PutSettledEra(ctx context.Context, era uint64) error
 }
 
 // Errors of Promoter.Promote. After any other error the promotion may still be
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -240,3 +240,34 @@
 	collector.gw.observeEra(1)
 	g.Eventually(store.count, 2*time.Second).Should(Equal(8), "without waiting for the next listing")
 }
+
+// settledStore holds only the record of the last settled era.
+type settledStore struct {
+	Store
+	era   uint64
+	reads int
+}
+
+func (s *settledStore) SettledEra(context.Context) (uint64, error) {
+	s.reads++
+	return s.era, nil
+}
+
+// After all instances had lost power, each of them waited 2.5 s for the operators, also long
+// after a restoration.
+func TestStartingInstanceLearnsThatTheEraHasSettled(t *testing.T) {
+	g := NewWithT(t)
+	store := &settledStore{era: 1}
+	gw := newTestInstance("a", store)
+	gw.observeEra(2)
+	gw.learnSettledEra(context.Background())
+	g.Expect(gw.eras.settled()).To(BeFalse(), "the record is of the era before")
+	store.era = 2
+	gw.learnSettledEra(context.Background())
+	g.Expect(gw.eras.settled()).To(BeTrue())
+
+	gw.observeEra(3)
+	reads := store.reads
+	gw.learnSettledEra(context.Background())
+	g.Expect(store.reads).To(Equal(reads), "the era has begun while the instance ran")
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -277,7 +277,11 @@
 	var newest revision.Revision
 	var writes catalog.WriteLog
 	w := watcher[OperatorEntry]{name: "operators", table: g.cfg.Store.Operators(), log: g.log, interrupt: g.interruptOperatorsPoll, suspended: g.peers.followsForConfig}
-	w.currentEra, w.observeEra, w.listDelay = g.eras.current, g.observeEra, g.listDelay
+	w.currentEra, w.listDelay = g.eras.current, g.listDelay
+	w.observeEra = func(era uint64) {
+		g.observeEra(era)
+		g.learnSettledEra(ctx)
+	}
 	aligned := true
 	w.pollWait = func() time.Duration {
 		if aligned {
