Spread polls after each event that aligns them

Cause: the polls were spread after changes and outages, but an instance that looks for a confirmation interrupts its poll, and all do so at the same age.

Change: the watcher itself knows which polls are aligned: those that follow a listing, a change, an interruption or a failure.

--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -71,7 +71,13 @@
 	// pollWait returns how long a poll waits for changes. batchDelay returns
 	// the delay between a change and the next poll, and may be nil.
 	pollWait, batchDelay func() time.Duration
-	log                  *logrus.Entry
+	// spreadPollWait returns the wait of a poll that all instances begin at about the same
+	// time; nil means pollWait.
+	spreadPollWait func() time.Duration
+	// aligned is set if the last call was no ordinary poll that ended with its wait: other
+	// instances are likely to begin their next polls at the same time.
+	aligned bool
+	log     *logrus.Entry
 	// apply applies a complete list, or changes. asked is when the call was
 	// sent.
 	apply func(batch Batch[T], complete bool, asked time.Duration)
@@ -139,6 +145,7 @@
 					"entries": len(batch.Changes), "newest": newestChange(batch.Changes).Version(), "knownEra": known.Era(), "knownVersion": known.Version(),
 				}).Info("listed a table of the store")
 			}
+			w.aligned = w.aligned || !listed || len(batch.Changes) > 0
 			w.apply(batch, !listed, asked)
 			known, listed, everListed = max(known, batch.Revision), true, true
 			if w.batchDelay != nil && len(batch.Changes) > 0 {
@@ -209,7 +216,7 @@
 
 func (w *watcher[T]) poll(ctx context.Context, listed bool, known revision.Revision) (Batch[T], error) {
 	if listed && (w.failing || w.interrupted) {
-		w.interrupted = false
+		w.interrupted, w.aligned = false, true
 		return w.table.Await(ctx, known, recoveryPollWait)
 	}
 	if listed {
@@ -235,7 +242,12 @@
 		case <-returned:
 		}
 	}()
-	batch, err := w.table.Await(ctx, known, w.pollWait())
+	wait := w.pollWait
+	if w.aligned && w.spreadPollWait != nil {
+		wait = w.spreadPollWait
+	}
+	w.aligned = false
+	batch, err := w.table.Await(ctx, known, wait())
 	select {
 	case <-interrupted:
 		w.interrupted = err != nil
@@ -276,27 +288,16 @@
 	entries := map[string]OperatorEntry{}
 	var newest revision.Revision
 	var writes catalog.WriteLog
-	w := watcher[OperatorEntry]{name: "operators", table: g.cfg.Store.Operators(), log: g.log, interrupt: g.interruptOperatorsPoll, suspended: g.peers.followsForConfig}
+	w := watcher[OperatorEntry]{name: "operators", table: g.cfg.Store.Operators(), log: g.log, interrupt: g.interruptOperatorsPoll, suspended: g.peers.followsForConfig, pollWait: g.operatorsPollTimeout}
 	w.currentEra, w.listDelay = g.eras.current, g.listDelay
 	w.observeEra = func(era uint64) {
 		g.observeEra(era)
 		g.learnSettledEra(ctx)
 	}
-	aligned := true
-	w.pollWait = func() time.Duration {
-		if aligned {
-			aligned = false
-			return g.spreadPollTimeout()
-		}
-		return g.operatorsPollTimeout()
-	}
+	w.spreadPollWait = g.spreadPollTimeout
 	// A longer poll for members sent during the outage may still hang.
-	w.onRecovered = func() {
-		aligned = true
-		interruptPoll(g.interruptMembersPoll)
-	}
+	w.onRecovered = func() { interruptPoll(g.interruptMembersPoll) }
 	w.apply = func(batch Batch[OperatorEntry], complete bool, asked time.Duration) {
-		aligned = aligned || complete || len(batch.Changes) > 0
 		g.noteStoreAnswer(asked)
 		if complete {
 			entries = map[string]OperatorEntry{}
@@ -442,10 +443,9 @@
 	}
 }
 
-// spreadPollTimeout returns the wait of the first poll after an event that ends or begins
-// the polls of all instances at the same time, as a change does. The instances divide the
-// usual wait between them, so that some of them always have a recent confirmation for the
-// others.
+// spreadPollTimeout returns the wait of a poll that all instances begin at about the same
+// time, as after a change. The instances divide the usual wait between them, so that some of
+// them always have a recent confirmation for the others.
 func (g *Gateway) spreadPollTimeout() time.Duration {
 	wait := g.operatorsPollTimeout()
 	if few, _ := g.peers.storeReaders(); few {
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -250,3 +250,16 @@
 	large := fleetOf(t, 24, 3)[5].gw
 	g.Expect(large.spreadPollTimeout()).To(Equal(large.operatorsPollTimeout()))
 }
+
+// Each event that aligns the polls of the instances is followed by a poll that spreads them.
+func TestWatcherSpreadsPollsThatAreAligned(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	table := &scriptedTable{script: []error{nil, nil, nil, errors.New("silent"), nil, nil, nil}, done: cancel}
+	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, spreadPollWait: func() time.Duration { return time.Second }, log: silentLog()}
+	w.apply = func(Batch[int], bool, time.Duration) {}
+	w.run(ctx)
+	// A listing, an ordinary poll, one that fails and one after the failure.
+	g.Expect(table.waits[:6]).To(Equal([]time.Duration{time.Second, time.Minute, time.Minute, recoveryPollWait, time.Second, time.Minute}))
+}
