Delay listings that fail after an interruption

Cause: a watcher that was suspended before its table had to be listed again kept the mark of the interruption, and took each failed listing for an interrupted poll, which is repeated at once.

Change: a listing clears the mark.

--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -222,6 +222,7 @@
 	if listed {
 		return w.awaitChanges(ctx, known)
 	}
+	w.interrupted = false
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return w.table.List(ctx)
--- a/pkg/gateway/watch_test.go
+++ b/pkg/gateway/watch_test.go
@@ -263,3 +263,27 @@
 	// A listing, an ordinary poll, one that fails and one after the failure.
 	g.Expect(table.waits[:6]).To(Equal([]time.Duration{time.Second, time.Minute, time.Minute, recoveryPollWait, time.Second, time.Minute}))
 }
+
+// An instance that followed a collector was interrupted when its table had to be listed
+// again. While the store was down, the listings that failed counted as interrupted polls,
+// and 24 instances made 30,000 calls a second.
+func TestWatcherBacksOffWhenAListingAfterAnInterruptionFails(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*minStoreRetryDelay)
+	defer cancel()
+	table := &scriptedTable{script: []error{nil}, done: func() {}}
+	for range 1000 {
+		table.script = append(table.script, errors.New("down"))
+	}
+	interrupt := make(chan struct{}, 1)
+	var relist atomic.Bool
+	w := watcher[int]{name: "test", table: table, pollWait: func() time.Duration { return time.Minute }, interrupt: interrupt, relist: &relist, log: silentLog()}
+	follows := true
+	w.suspended = func() bool { defer func() { follows = false }(); return follows }
+	w.apply = func(Batch[int], bool, time.Duration) {
+		relist.Store(true)
+		interrupt <- struct{}{}
+	}
+	w.run(ctx)
+	g.Expect(table.lists).To(BeNumerically("<=", 10))
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -15,34 +15,36 @@
 // regressions lists the seeds that once violated a guarantee, each with its cause.
 // They run with every test run.
 var regressions = []struct {
-	seed     uint64
-	duration time.Duration
-	cause    string
+	seed      uint64
+	duration  time.Duration
+	instances int
+	cause     string
 }{
-	{139, 20 * time.Second, "the soak started an instance twice that was killed while it shut down"},
-	{103, 20 * time.Second, "the stand-in's former primary hid commits that it had shown"},
+	{139, 20 * time.Second, 4, "the soak started an instance twice that was killed while it shut down"},
+	{103, 20 * time.Second, 4, "the stand-in's former primary hid commits that it had shown"},
+	{200, 9 * time.Second, 24, "listings that failed after an interruption were repeated without a delay"},
 }
 
 // shortRun is the duration of the fault phase of TestShortRun.
 const shortRun = 8 * time.Second
 
 func TestShortRun(t *testing.T) {
-	runSeed(t, 1, shortRun)
+	runSeed(t, 1, shortRun, 4)
 }
 
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
-		t.Run(r.cause, func(t *testing.T) { runSeed(t, r.seed, r.duration) })
+		t.Run(r.cause, func(t *testing.T) { runSeed(t, r.seed, r.duration, r.instances) })
 	}
 }
 
-func runSeed(t *testing.T, seed uint64, duration time.Duration) {
+func runSeed(t *testing.T, seed uint64, duration time.Duration, instances int) {
 	g := NewWithT(t)
 	directory := t.TempDir()
 	binary := filepath.Join(directory, "mulberrygate")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/mulberrysill/mulberrysill/cmd/mulberrygate").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
-	result, err := soak.Run(t.Context(), soak.Options{Seed: seed, Duration: duration, Binaries: []string{binary}, Directory: directory})
+	result, err := soak.Run(t.Context(), soak.Options{Seed: seed, Duration: duration, Instances: instances, Binaries: []string{binary}, Directory: directory})
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, line := range result.Timeline {
 		t.Log(line)
