Bound the delay of listings by one exchange, and eras by what revisions hold

An instance of a large fleet whose collector does not answer waited 2 to 4 s before it listed a table whose history is lost, longer than a configuration may take; it now waits at most one exchange. An impossible era in a peer's message would have made each answer of the store one of a former era; it is logged and ignored (TestImpossibleEraOfAPeerIsIgnored).

--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -8,6 +8,9 @@
 // million transactions a second it lasts nine years.
 const versionBits = 48
 
+// MaxEra is the highest era that a revision holds.
+const MaxEra = 1<<(64-versionBits) - 1
+
 // Revision is a version of the store within its era. Revisions of different eras are
 // ordered by era. In the first era a revision equals its version.
 type Revision uint64
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -302,7 +302,11 @@
 		return
 	}
 	instances := ps.observeAlive(s)
-	ps.gw.observePeerEra(s.StoreEra, time.Duration(s.StoreEraAgeMs)*time.Millisecond)
+	if s.StoreEra > revision.MaxEra {
+		ps.gw.log.WithFields(logrus.Fields{"event": "peer-era", "peer": s.Id, "era": s.StoreEra}).Warn("a peer reports an impossible era; ignored")
+	} else {
+		ps.gw.observePeerEra(s.StoreEra, time.Duration(s.StoreEraAgeMs)*time.Millisecond)
+	}
 	token := revision.Revision(s.DutyToken)
 	ps.updateDuty(Duty{Holder: s.DutyHolder, Started: s.DutyStarted, Token: token, ClaimedIn: token.Era()})
 	if !s.SectionOnly {
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -271,3 +271,11 @@
 	gw.learnSettledEra(context.Background())
 	g.Expect(store.reads).To(Equal(reads), "the era has begun while the instance ran")
 }
+
+// An impossible era would make each answer of the store one of a former era.
+func TestImpossibleEraOfAPeerIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	gw := newTestInstance("a", nil)
+	gw.peers.observeState(&pb.State{Id: "b", Started: 1, StoreEra: 1 << 60})
+	g.Expect(gw.eras.current()).To(BeZero())
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -56,9 +56,9 @@
 	recoveryPollWait = 100 * time.Millisecond
 	// listTimeout bounds the listing of a table.
 	listTimeout = 1500 * time.Millisecond
-	// minListDelay and maxListDelay bound the delay before an instance that follows a
-	// collector lists a table itself: two exchanges with the collector, spread over as long.
-	minListDelay, maxListDelay = 2 * exchangeInterval, 4 * exchangeInterval
+	// maxListDelay bounds the delay before an instance of a large fleet that is no collector
+	// lists a table itself. Until then its collector may answer again.
+	maxListDelay = exchangeInterval
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay after a failed
 	// call to the store.
 	minStoreRetryDelay, maxStoreRetryDelay = 100 * time.Millisecond, 700 * time.Millisecond
@@ -414,7 +414,7 @@
 	if g.peers.readsStore() {
 		return 0
 	}
-	return minListDelay + rand.N(maxListDelay-minListDelay)
+	return rand.N(maxListDelay)
 }
 
 // needsConfirmation reports whether the last confirmation is older than it
