Take no bundle on the word of a store that was just restored

What callers may see: on the PostgreSQL side an instance that started after a restoration accepted a key that the accepted bundle had withdrawn, until a peer told it of that bundle.

Cause: a read of the head counted as proof that no newer bundle is accepted.

Change: GetRow names the era. Until the era has settled, a head that is read from the store is no contact, and only a majority of the peers makes an instance current.

--- a/core/bundle/rollout.go
+++ b/core/bundle/rollout.go
@@ -187,6 +187,11 @@
 	return nil
 }
 
+// ObserveRestoredHead processes a head that was read from the store soon after the store was
+// restored from a copy. An accepted bundle may be missing in it until the operators publish
+// it again, so the read is not a contact.
+func (t *Rollout) ObserveRestoredHead(h Head) error { return t.observe(h) }
+
 // ObservePeerHead processes a head that a peer reported in an exchange of heartbeats that
 // this instance started at sentAt. A peer with an older head counts as a contact,
 // because the exchange tells it the newer version.
--- a/pkg/control/rollout.go
+++ b/pkg/control/rollout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/core/bundle"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/pkg/platform"
 	peerpb "github.com/mulberrysill/mulberrysill/rpc/peer"
 )
@@ -26,6 +27,8 @@
 	fetchInFlight    bool
 	nextFetch        time.Time
 	lastStoreRead    time.Time
+	// eras are the eras of the store. Their times count from the start of the process.
+	eras revision.Eras
 }
 
 // readHead starts a read of the head row if one is due, and a download of the
@@ -62,7 +65,15 @@
 	// accepted between the read in the store and the arrival of the response.
 	r.lastStoreRead = sentAt
 	before := r.core.Newest()
-	if err := r.core.ObserveStoreHead(h, sentAt); err != nil {
+	if r.eras.Observe(row.Era, now.Sub(p.startedAt)) {
+		p.cfg.Log.WithField("era", row.Era).Warn("the store was restored from a copy; its bundle head may be out of date")
+	}
+	if sentAt.Sub(p.startedAt) >= r.eras.SettledAt() {
+		err = r.core.ObserveStoreHead(h, sentAt)
+	} else {
+		err = r.core.ObserveRestoredHead(h)
+	}
+	if err != nil {
 		p.cfg.Log.WithError(err).Warn("bundle head of the store not taken")
 	}
 	p.fetchIfNewer(ctx, now, before, "")
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -132,7 +132,7 @@
 	return errors.As(err, &t) && t.Code() == code
 }
 
-func fromProto(r *pb.Row) Row { return Row{Key: r.Key, Value: r.Value, Version: r.Version} }
+func fromProto(r *pb.Row) Row { return Row{Key: r.Key, Value: r.Value, Version: r.Version, Era: r.Era} }
 
 func rowsFromProto(rows []*pb.Row) []Row {
 	list := make([]Row, 0, len(rows))
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -21,6 +21,9 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	// Era is the number of times that the store was restored from a copy; only GetRow
+	// sets it.
+	Era uint64
 }
 
 // Write is one write of a transaction. It is conditional on the row's version; an
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"sort"
 	"strconv"
 	"strings"
@@ -37,6 +38,30 @@
 	// of its earlier versions.
 	lastVersion     uint64
 	instanceChanges map[string][]instanceChange
+	// era is the number of restorations.
+	era uint64
+}
+
+// Copy is a copy of the rows of a platform.
+type Copy struct {
+	rows        map[string]*pb.Row
+	lastVersion uint64
+}
+
+// Copy returns a copy of the rows.
+func (p *Platform) Copy() Copy {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	return Copy{maps.Clone(p.store.rows), p.store.lastVersion}
+}
+
+// Restore replaces the rows by the copy and begins the next era. Objects and the instance
+// list stay.
+func (p *Platform) Restore(c Copy) {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	p.store.rows, p.store.lastVersion = maps.Clone(c.rows), c.lastVersion
+	p.store.era++
 }
 
 // instanceChange is one change of an instance's entry in the instance list; a
@@ -53,7 +78,9 @@
 func (s *store) get(key string) *pb.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copyRow(key)
+	row := s.copyRow(key)
+	row.Era = s.era
+	return row
 }
 
 // copyRow returns a copy of the row; a missing row has version 0. The caller
--- a/test/integration/store_test.go
+++ b/test/integration/store_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberrysill/mulberrysill/core/bundle"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	adminpb "github.com/mulberrysill/mulberrysill/rpc/admin"
 	"github.com/mulberrysill/mulberrysill/standin/platform"
 	"github.com/mulberrysill/mulberrysill/standin/stack"
@@ -97,6 +98,37 @@
 		Expect(s.AwaitActive(ctx, s.Spec().Version)).To(Succeed())
 	}, SpecTimeout(time.Minute))
 
+	// Guards against an instance that starts with the older bundle of a restored store and
+	// accepts a key that the newest bundle revokes.
+	It("never serves an older bundle on an instance that starts after the store was restored (P14, P6)", func(ctx SpecContext) {
+		older := s.Platform.Copy()
+		keys := setKeys(ctx, s, "taller", nil)
+		version := s.Spec().Version
+		Expect(s.AwaitActive(ctx, version)).To(Succeed())
+		newer := s.Platform.Copy()
+		restarted := s.Instances[1]
+		restarted.Kill()
+		s.Platform.Restore(older)
+		for _, i := range []int{0, 2} {
+			Expect(s.Instances[i].Pause()).To(Succeed())
+		}
+		Expect(restarted.Start()).To(Succeed())
+		// The instance learns of the era after its start, so it is unsettled throughout.
+		for ends := time.Now().Add(revision.SettleTime); time.Now().Before(ends); time.Sleep(20 * time.Millisecond) {
+			conn, err := pgconn.Connect(ctx, s.URL(restarted, "taller", "g1"))
+			if err == nil {
+				_ = conn.Close(ctx)
+			}
+			Expect(err).To(HaveOccurred(), "the key is accepted")
+		}
+		for _, i := range []int{0, 2} {
+			Expect(s.Instances[i].Resume()).To(Succeed())
+		}
+		Expect(s.AwaitActive(ctx, version)).To(Succeed(), "the others have told the instance")
+		s.Platform.Restore(newer) // as if the operators had published the same bundle again
+		publish(ctx, func(b *bundle.Spec) { b.Workspaces[1].Keys = keys })
+	}, SpecTimeout(time.Minute))
+
 	// Guards against an instance that starts with an older bundle from a peer that
 	// was paused during the publish. The newest bundle revokes a key.
 	for _, outage := range []platform.Outage{platform.NoOutage, platform.ErrorOutage} {
