--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -174,6 +174,7 @@
 	follower.gw.configLease = catalog.Lease{MaxAge: follower.gw.configLease.MaxAge}
 	follower.gw.installConfiguration(catalog.Entries{Spec: specOfVersion(6), Revision: 7})
 	state := collector.localState(nil)
+	state.ConfigVersion = 5 // a newer one would be fetched
 	follower.mu.Lock()
 	p := follower.byID[collector.gw.cfg.ID]
 	follower.mu.Unlock()
