Serve each member by instances of its availability zone, as an option

Cause: a statement that is relayed to a workspace's owner crosses zones twice, and sixteen instances with three connections each to a member cannot keep one for each workspace. Change: with servingScope member, each member has a serving set in its zone; the instance of the client chooses the member and tries the next one after a refusal. Silent peers are detected by a ping. Positions of the primary are fetched from an instance that serves it.

--- a/cmd/mulberrygate/main.go
+++ b/cmd/mulberrygate/main.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"net"
 	"os"
 	"os/signal"
@@ -78,10 +79,14 @@
 	if err != nil {
 		return err
 	}
+	scope, err := placement.ParseServingScope(settings.ServingScope)
+	if err != nil {
+		return err
+	}
 	cfg := gateway.Config{
 		ID: settings.ID, Zone: settings.Zone, Capacity: settings.Capacity, PeerAddress: cmp.Or(settings.PeerAdvertisedAddress, settings.PeerAddress),
 		RevocationBound: time.Duration(settings.RevocationBound), GracePeriod: time.Duration(settings.GracePeriod),
-		FirstStart: settings.FirstStart,
+		FirstStart: settings.FirstStart, ServingScope: scope,
 		LimitTolerance: quota.Tolerance{
 			Window: time.Duration(settings.LimitTolerance.Window), Overage: settings.LimitTolerance.Overage, Slack: settings.LimitTolerance.Slack,
 		},
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -140,6 +140,9 @@
 // Group returns the database group with the name, or nil.
 func (c *Catalog) Group(name string) *Group { return c.groups[name] }
 
+// Route returns the route of the database, or nil.
+func (c *Catalog) Route(database string) *Route { return c.routeByDatabase[database] }
+
 // anonymousWorkspace is the workspace of clients without a key on open routes.
 var anonymousWorkspace = &Workspace{Name: "anonymous"}
 
--- a/pkg/config/gate.go
+++ b/pkg/config/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"net/netip"
 	"os"
 	"time"
@@ -55,6 +56,8 @@
 	// LimitTolerance is what the platform tolerates beyond the workspaces' limits; by
 	// default nothing.
 	LimitTolerance LimitTolerance `yaml:"limitTolerance"`
+	// ServingScope says for what serving sets of instances are chosen: "group" or "member".
+	ServingScope string `yaml:"servingScope"`
 	// LogLevel is a logrus level.
 	LogLevel string `yaml:"logLevel"`
 }
@@ -80,7 +83,7 @@
 // names the file, the line and the field of each invalid value.
 func ParseGate(path string, data []byte) (GateSettings, error) {
 	s := GateSettings{
-		RevocationBound: Duration(DefaultRevocationBound), GracePeriod: Duration(DefaultGracePeriod), LogLevel: DefaultLogLevel,
+		RevocationBound: Duration(DefaultRevocationBound), GracePeriod: Duration(DefaultGracePeriod), ServingScope: placement.ServingByGroup.String(), LogLevel: DefaultLogLevel,
 	}
 	err := decode(path, data, &s, func() []fieldError { return s.validate() })
 	return s, err
@@ -112,6 +115,8 @@
 	check(t.Window >= 0 && time.Duration(t.Window) <= maxLimitWindow, "limitTolerance.window", "must be between 0 and %s", maxLimitWindow)
 	check(t.Overage >= 0 && t.Overage <= 1, "limitTolerance.overage", "must be between 0 and 1")
 	check(t.Slack >= 0 && t.Slack <= maxLimitSlack, "limitTolerance.slack", "must be between 0 and %d operations", maxLimitSlack)
+	_, err := placement.ParseServingScope(s.ServingScope)
+	check(err == nil, "servingScope", "must be %q or %q", placement.ServingByGroup, placement.ServingByMember)
 	check(time.Duration(s.RevocationBound) >= minRevocationBound, "revocationBound", "must be at least %s", minRevocationBound)
 	check(time.Duration(s.GracePeriod) >= minGracePeriod, "gracePeriod", "must be at least %s", minGracePeriod)
 	return list
--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -24,6 +24,10 @@
 			return nil, p.queueFullError("no connection in time")
 		}
 		candidates := p.candidates(req, now)
+		if len(candidates) == 0 && req.member != "" {
+			p.mu.Unlock()
+			return nil, p.memberUnavailableError(req.member)
+		}
 		if len(candidates) == 0 {
 			if len(req.excluded) > 0 || (!p.primaryChanging && now.Sub(started) >= noMemberWait) {
 				p.mu.Unlock()
@@ -74,6 +78,12 @@
 	return verdict.New(verdict.NotRun, verdict.QueueFull, "group %s: %s", p.name, text).WithRetryAfter(refusalRetryAfter)
 }
 
+// memberUnavailableError returns the refusal of a statement that is to run at a member that
+// does not take it.
+func (p *pool) memberUnavailableError(member string) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.NoPrimary, "group %s: member %s does not take the statement", p.name, member).WithRetryAfter(refusalRetryAfter)
+}
+
 // waitForMembersChange waits until the set of usable members changes. The
 // caller holds p.mu.
 func (p *pool) waitForMembersChange(ctx context.Context, wait time.Duration) {
@@ -111,11 +121,33 @@
 	return time.Duration(float64(p.meanHoldTime) * float64(ahead+1) / float64(max(slots, 1)))
 }
 
+// expectedMemberWait estimates how long a further request would wait for the member.
+func (p *pool) expectedMemberWait(member string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[member]
+	if m == nil || p.queue.Len() == 0 {
+		return 0
+	}
+	ahead := p.queue.CountWaiting(func(item admission.Item) bool { return p.waiters[item.ID].request.member == member })
+	return time.Duration(float64(p.meanHoldTime) * float64(ahead) / float64(p.statementLimit(m)))
+}
+
+// servingScope says whether each member has a serving set of its own.
+func (p *pool) servingScope() placement.ServingScope {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scope
+}
+
 // candidates returns the members that can serve the request. The caller holds
 // p.mu.
 func (p *pool) candidates(req *connRequest, now time.Time) []placement.Member {
 	var out []placement.Member
 	for _, m := range p.members {
+		if req.member != "" && m.ID != req.member {
+			continue
+		}
 		if m.down || req.excluded[m.ID] || (req.needsPrimary && m.ID != p.primary) {
 			continue
 		}
@@ -156,6 +188,9 @@
 // connLimit returns the maximum number of connections from this instance to
 // the member.
 func (p *pool) connLimit(m *poolMember) int {
+	if p.scope == placement.ServingByMember {
+		return p.memberConnLimit(m)
+	}
 	if !p.inServingSet {
 		return nonServingConnsPerMember
 	}
@@ -169,8 +204,11 @@
 // statementLimit returns the maximum number of statements that this instance
 // may have in flight on the member.
 func (p *pool) statementLimit(m *poolMember) int {
-	slots := max(m.Slots, 1)
-	return max((slots*statementsPerSlot+p.servingInstances-1)/max(p.servingInstances, 1), 1)
+	slots, instances := max(m.Slots, 1), max(p.servingInstances, 1)
+	if p.scope == placement.ServingByMember {
+		instances = max(p.memberSetSize, 1)
+	}
+	return max((slots*statementsPerSlot+instances-1)/instances, 1)
 }
 
 // preferredReplica returns the replica on which the workspace's connections
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"slices"
 	"strconv"
 	"sync"
@@ -198,7 +199,6 @@
 		return
 	}
 	now := time.Now()
-	instances := c.gw.peers.liveInstances()
 	byGroup := map[string][]Member{}
 	c.members.Forget(now, unlistedMemberTTL)
 	for _, m := range c.members.Entries() {
@@ -211,7 +211,7 @@
 			if g == nil {
 				continue
 			}
-			p = newPool(name, c.gw.cfg.Zone, c.gw.cfg.Dialer, c.onPoolEvent)
+			p = newPool(name, c.gw.cfg.Zone, c.gw.cfg.Dialer, c.gw.peers, c.onPoolEvent)
 			c.gw.poolsMu.Lock()
 			c.gw.pools[name] = p
 			c.gw.poolsMu.Unlock()
@@ -220,11 +220,27 @@
 		if g != nil {
 			maxConnections = g.MaxConnections
 		}
-		set := instances.servingSet(name, maxConnections)
-		p.updateMembers(members, c.members.UnlistedSince(), current.IsOutOfService, maxConnections, len(set), slices.Contains(set, c.gw.cfg.ID))
+		p.updateMembers(members, c.members.UnlistedSince(), current.IsOutOfService, maxConnections, c.servingSets(name, members, maxConnections))
 	}
 }
 
+// servingSets returns the instances that serve the group or its members.
+func (c *controller) servingSets(group string, members []Member, maxConnections int) servingSets {
+	out := servingSets{self: c.gw.cfg.ID, scope: c.gw.cfg.ServingScope}
+	if out.scope == placement.ServingByGroup {
+		set := c.gw.peers.liveInstances().servingSet(group, maxConnections)
+		out.instances, out.includesSelf = len(set), slices.Contains(set, out.self)
+		return out
+	}
+	out.instances, out.includesSelf = 1, true
+	out.memberSetSize, out.members = memberSetSize(maxConnections), make(map[string][]string, len(members))
+	healthy := c.gw.peers.healthyInstances()
+	for i := range members {
+		out.members[members[i].ID] = healthy.memberSet(members[i].ID, members[i].Zone, out.memberSetSize)
+	}
+	return out
+}
+
 // onPoolEvent is called by pools with their mutex held.
 func (c *controller) onPoolEvent(e poolEvent) {
 	c.enqueue(func() { c.reportUnusablePrimary(e) })
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -120,7 +120,7 @@
 		g.sessionsMu.Lock()
 		left := len(g.sessions)
 		g.sessionsMu.Unlock()
-		if left == 0 {
+		if left += g.relayedSessions.count(); left == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -129,5 +129,5 @@
 	g.sessionsMu.Lock()
 	left := len(g.sessions)
 	g.sessionsMu.Unlock()
-	g.log.WithFields(logrus.Fields{"event": "drained", "sessions": left}).Info("drained")
+	g.log.WithFields(logrus.Fields{"event": "drained", "sessions": left, "relayedTransactions": g.relayedSessions.count()}).Info("drained")
 }
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"strconv"
 	"time"
 
@@ -55,10 +56,14 @@
 	pool      *pool
 	deadline  time.Time
 	rec       *requestRecord
+	// member restricts the statement to one member; "" does not.
+	member string
+	// waited is how long the statement has waited at the instance that relayed it.
+	waited time.Duration
 }
 
 func (op *operation) connRequest() *connRequest {
-	return &connRequest{workspace: op.workspace.Name, deadline: op.deadline, maxWait: maxQueueWait(op.route)}
+	return &connRequest{workspace: op.workspace.Name, member: op.member, deadline: op.deadline, maxWait: max(maxQueueWait(op.route)-op.waited, busyRetryDelay)}
 }
 
 // executeSingle runs a statement outside a transaction.
@@ -67,8 +72,12 @@
 	if err != nil {
 		return statement.Reply{}, err
 	}
-	deadline := time.Now().Add(statementTimeout(route))
-	reply, err := s.runOrRelay(ctx, &operation{st, route, workspace, p, deadline, rec})
+	deadline := time.Now().Add(statementTimeout(route) - s.waited)
+	op := &operation{Statement: st, route: route, workspace: workspace, pool: p, deadline: deadline, rec: rec, member: s.member, waited: s.waited}
+	if p.servingScope() == placement.ServingByMember && !s.isRelayed {
+		return s.runAtMembers(ctx, op)
+	}
+	reply, err := s.runOrRelay(ctx, op)
 	if err != nil && rec.attempts == 0 && rec.relay == "" && verdict.FromError(err).Code != verdict.RateLimitExceeded {
 		s.gw.limits.refund(workspace.Name)
 	}
@@ -165,18 +174,30 @@
 // readFloor returns the minimum position that a read of the route must see. It
 // returns false if no recent position of the primary is known.
 func (s *session) readFloor(route *catalog.Route, p *pool) (group.Position, bool) {
-	since := bootTime() + stalenessMargin - route.MaxStaleness
-	floor, ok := p.floor(since)
+	floor, ok := p.floor(bootTime() + stalenessMargin - route.MaxStaleness)
+	if !ok {
+		p.awaitPosition()
+		floor, ok = p.floor(bootTime() + stalenessMargin - route.MaxStaleness)
+	}
 	if route.Consistency == catalog.ReadYourWrites && s.lastGroup == route.Group && s.lastWrite.Compare(floor) > 0 {
 		floor = s.lastWrite
 	}
 	return floor, ok
 }
 
+// readAttempts returns how often the read is sent. If it is restricted to a replica, it is
+// sent once, and the instance to which the client is connected tries another member.
+func (op *operation) readAttempts() int {
+	if op.member != "" && op.route.Consistency != catalog.Strict {
+		return 1
+	}
+	return readAttempts
+}
+
 func (s *session) runRead(ctx context.Context, op *operation) (statement.Reply, error) {
 	st, p, req := op.Statement, op.pool, op.connRequest()
 	var last error
-	for range readAttempts {
+	for range op.readAttempts() {
 		st.AfterPosition = group.Position{}
 		floor, known := group.Position{}, false
 		if op.route.Consistency != catalog.Strict {
--- a/pkg/gateway/fleetview.go
+++ b/pkg/gateway/fleetview.go
@@ -47,14 +47,7 @@
 func (v *fleetView) workspaceOwner(group, workspace string, maxConnections int) string {
 	key := group + "/" + workspace
 	owner := v.cached(key+"\x00"+strconv.Itoa(maxConnections)+"\x00owner", func() []string {
-		set := v.servingSet(group, maxConnections)
-		serving := make([]membership.Instance, 0, len(set))
-		for _, i := range v.instances {
-			if slices.Contains(set, i.ID) {
-				serving = append(serving, i)
-			}
-		}
-		return chooseInstances(key, 1, serving)
+		return chooseInstances(key, 1, v.only(v.servingSet(group, maxConnections)))
 	})
 	if len(owner) == 0 {
 		return ""
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"net"
 	"strconv"
 	"sync"
@@ -30,6 +31,8 @@
 	RevocationBound time.Duration
 	// GracePeriod is the time between SIGTERM and SIGKILL.
 	GracePeriod time.Duration
+	// ServingScope says for what serving sets of instances are chosen.
+	ServingScope placement.ServingScope
 	// LimitTolerance is what the platform tolerates beyond the workspaces' limits.
 	LimitTolerance quota.Tolerance
 	// FirstStart indicates the first start of the whole system; limits then
@@ -133,7 +136,7 @@
 	g.spawn(func() { g.watchInstances(workCtx) })
 	g.spawn(func() { g.peers.run(workCtx) })
 	go g.acceptClients(workCtx, failed)
-	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started}).Info("instance started")
+	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started, "servingScope": g.cfg.ServingScope.String()}).Info("instance started")
 	var err error
 	select {
 	case err = <-failed:
@@ -230,6 +233,19 @@
 	return g.pools[name]
 }
 
+// poolOfRoute returns the pool of the group of a database's route, or nil.
+func (g *Gateway) poolOfRoute(database string) *pool {
+	c := g.currentConfig.Load()
+	if c == nil {
+		return nil
+	}
+	route := c.catalog.Route(database)
+	if route == nil {
+		return nil
+	}
+	return g.pool(route.Group)
+}
+
 // forEachPool calls f for every pool, without holding the lock.
 func (g *Gateway) forEachPool(f func(*pool)) {
 	g.poolsMu.RLock()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -69,6 +69,10 @@
 	reportedAliveDigest uint64
 	// suspectUntil is the time until which nothing is relayed to the peer.
 	suspectUntil time.Time
+	// ping is the question whether the peer responds that is in progress, or nil.
+	ping *pendingPing
+	// respondedAt is when the peer last responded to a call, on the clock of bootTime.
+	respondedAt atomic.Int64
 }
 
 // peers tracks the other instances and exchanges states with them.
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -7,6 +7,7 @@
 	"github.com/mulberrysill/mulberrysill/core/admission"
 	"github.com/mulberrysill/mulberrysill/core/consistency"
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
@@ -58,6 +59,8 @@
 	zone    string
 	dialer  Dialer
 	onEvent func(poolEvent)
+	// instances are the other instances, which may serve members of the group.
+	instances *peers
 
 	mu      sync.Mutex
 	members map[string]*poolMember
@@ -81,6 +84,14 @@
 	// inServingSet is set if this instance belongs to it.
 	maxConnections, servingInstances int
 	inServingSet                     bool
+	// scope says whether each member has a serving set of its own, which then has
+	// memberSetSize instances.
+	scope         placement.ServingScope
+	memberSetSize int
+	// targets holds what other instances reported of the members that they serve.
+	targets map[string]targetReport
+	// fetching is the request for a position of the primary that is in progress, or nil.
+	fetching *positionFetch
 	// meanHoldTime is the moving average of the time for which a request holds
 	// a connection.
 	meanHoldTime time.Duration
@@ -98,6 +109,8 @@
 // poolMember is the pool's state of one member, guarded by the pool's mutex.
 type poolMember struct {
 	Member
+	// served is set if this instance belongs to the member's serving set.
+	served        bool
 	idle          map[string][]*pooledConn
 	idleCount     int
 	open, opening int
@@ -153,8 +166,10 @@
 	// needsPrimary restricts the request to the primary; otherwise any member
 	// is acceptable.
 	needsPrimary bool
-	excluded     map[string]bool
-	deadline     time.Time
+	// member restricts the request to one member; "" does not.
+	member   string
+	excluded map[string]bool
+	deadline time.Time
 	// maxWait is the longest useful wait in the queue; a request expected to
 	// wait longer is refused immediately. 0 means until the deadline.
 	maxWait time.Duration
@@ -174,11 +189,11 @@
 	err     error
 }
 
-func newPool(name, zone string, dialer Dialer, onEvent func(poolEvent)) *pool {
+func newPool(name, zone string, dialer Dialer, instances *peers, onEvent func(poolEvent)) *pool {
 	return &pool{
-		name: name, zone: zone, dialer: dialer, onEvent: onEvent,
+		name: name, zone: zone, dialer: dialer, instances: instances, onEvent: onEvent,
 		members: map[string]*poolMember{}, membersChanged: make(chan struct{}),
-		queue: admission.NewQueue(0), waiters: map[uint64]*waiter{}, servingInstances: 1, inServingSet: true,
+		queue: admission.NewQueue(0), waiters: map[uint64]*waiter{}, targets: map[string]targetReport{}, servingInstances: 1, inServingSet: true,
 		meanHoldTime: 20 * time.Millisecond,
 	}
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -29,6 +29,8 @@
 	// defaultRelayedIdleTimeout ends a relayed transaction whose sender has
 	// disappeared, if the configuration sets no timeout for idle transactions.
 	defaultRelayedIdleTimeout = 5 * time.Second
+	// maxReportedWait bounds the wait that a peer reports for a statement.
+	maxReportedWait = 10 * time.Second
 )
 
 // relayTarget returns the peer that should run a statement of the workspace,
@@ -112,25 +114,36 @@
 // relay sends a statement to a peer. The error is a *verdict.Error if the peer
 // refused or failed the statement, and the error of the call if the peer did
 // not respond.
-func (s *session) relay(ctx context.Context, to *peer, st statement.Statement, begin, charge bool, timeout time.Duration, rec *requestRecord) (statement.Reply, error) {
+func (s *session) relay(ctx context.Context, to *peer, p *pool, member string, st statement.Statement, begin, charge bool, timeout time.Duration, rec *requestRecord) (statement.Reply, error) {
 	request := &pb.RunRequest{
 		From: s.gw.cfg.ID + "/" + strconv.FormatInt(s.gw.started, 36), Database: s.startup.Database, Key: s.startup.Key,
 		Begin: begin, Charge: charge, Id: st.ID, Kind: uint32(st.Kind), Name: st.Name, Argument: st.Argument, Text: st.Text, Values: s.settings,
 		LastGroup: s.lastGroup, LastTerm: s.lastWrite.Term, LastIndex: s.lastWrite.Index,
 	}
+	mayRepeat := !s.isWrite(st)
 	if s.tx != nil {
 		request.Transaction, request.ReadOnly = s.tx.relayID, s.tx.readOnly
+		// Unless it commits, nothing of the transaction is kept.
+		mayRepeat = st.Kind != statement.Commit || !s.tx.hasWritten
 	}
 	if st.Kind == statement.Execute {
 		request.PreparedWrite, request.PreparedShape = s.prepared[st.Name].isWrite, s.prepared[st.Name].shape
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+relayTimeoutMargin)
 	defer cancel()
+	if request.Member = member; member != "" && mayRepeat {
+		request.WaitedUs = time.Since(rec.started).Microseconds()
+		defer s.gw.peers.watchRelay(to, cancel).stop()
+	}
 	answer, err := to.client.Run(ctx, request)
 	if err != nil {
 		s.gw.peers.markSuspect(to)
 		return statement.Reply{}, err
 	}
+	to.noteResponse()
+	if member != "" {
+		p.noteTarget(member, time.Duration(answer.ExpectedWaitUs)*time.Microsecond, false)
+	}
 	rec.member, rec.attempts, rec.relay = answer.Member, rec.attempts+int(answer.Attempts), to.ID
 	s.state = statement.State(answer.State)
 	if answer.Code != "" {
@@ -150,7 +163,7 @@
 	if !isWrite {
 		deadline = readAttemptDeadline(op.route, deadline)
 	}
-	reply, err := s.relay(ctx, to, op.Statement, false, charge, time.Until(deadline), op.rec)
+	reply, err := s.relay(ctx, to, op.pool, op.member, op.Statement, false, charge, time.Until(deadline), op.rec)
 	e := new(verdict.Error)
 	switch {
 	case err == nil && isWrite:
@@ -159,7 +172,7 @@
 	case err == nil:
 		return reply, nil
 	case errors.As(err, &e):
-		if isStaleConfigRefusal(e) {
+		if isStaleConfigRefusal(e) && (op.member == "" || e.Code != verdict.NoPrimary) {
 			return reply, errNotRunAtPeer
 		}
 		return reply, e
@@ -192,7 +205,7 @@
 	tx := s.tx
 	isWrite := s.isWrite(st)
 	tx.hasWritten = tx.hasWritten || isWrite
-	reply, err := s.relay(ctx, tx.peer, st, begin, begin && tx.uncharged, statementTimeout(tx.route), rec)
+	reply, err := s.relay(ctx, tx.peer, tx.pool, tx.member, st, begin, begin && tx.uncharged, statementTimeout(tx.route), rec)
 	e := new(verdict.Error)
 	switch {
 	case err == nil:
@@ -204,10 +217,14 @@
 		}
 		return reply, nil
 	case errors.As(err, &e):
-		if begin && isStaleConfigRefusal(e) {
+		if begin && isStaleConfigRefusal(e) && (tx.member == "" || e.Code != verdict.NoPrimary) {
 			s.state = statement.InTransaction
 			return reply, errNotRunAtPeer
 		}
+		if begin && tx.member != "" && mayRunElsewhere(e, tx.readOnly) {
+			s.state = statement.InTransaction
+			return reply, e
+		}
 		// The peer has rolled back the transaction.
 		s.tx = nil
 		if s.state == statement.InTransaction {
@@ -216,6 +233,10 @@
 		return reply, e
 	case begin && isDialError(err):
 		return reply, errNotRunAtPeer
+	case begin && tx.member != "" && st.Kind != statement.Commit:
+		s.rollbackAtPeer(tx)
+		s.state = statement.InTransaction
+		return reply, errNotRunAtPeer
 	}
 	wrote, to := tx.hasWritten, tx.peer.ID
 	if st.Kind != statement.Commit {
@@ -305,6 +326,7 @@
 		s.prepared = map[string]preparedStatement{r.Name: {r.PreparedWrite, r.PreparedShape}}
 	}
 	s.lastGroup, s.lastWrite = r.LastGroup, group.Position{Term: r.LastTerm, Index: r.LastIndex}
+	s.member, s.waited = r.Member, min(max(time.Duration(r.WaitedUs)*time.Microsecond, 0), maxReportedWait)
 }
 
 func relayedKey(r *pb.RunRequest) string { return r.From + "/" + strconv.FormatUint(r.Transaction, 36) }
@@ -329,7 +351,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.tx = &transaction{readOnly: r.ReadOnly, route: route, workspace: workspace, pool: p}
+	s.tx = &transaction{readOnly: r.ReadOnly, route: route, workspace: workspace, pool: p, member: r.Member}
 	s.state = statement.InTransaction
 	rs := &relayedSession{session: s}
 	rs.idleTimer = time.AfterFunc(g.relayedIdleTimeout(), func() {
@@ -342,6 +364,13 @@
 	return rs, nil
 }
 
+// count returns the number of open transactions of peers.
+func (l *relayedSessions) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sessions)
+}
+
 func (l *relayedSessions) remove(r *pb.RunRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -357,6 +386,9 @@
 		Term: reply.Position.Term, Index: reply.Position.Index, Member: rec.member,
 		Attempts: uint32(rec.attempts),
 	}
+	if p := s.gw.poolOfRoute(rec.database); p != nil && s.member != "" {
+		out.ExpectedWaitUs = p.expectedMemberWait(s.member).Microseconds()
+	}
 	if err != nil {
 		e := verdict.FromError(err)
 		rec.err = e
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -73,7 +73,7 @@
 	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
 	store.duty = Duty{Holder: "b", Started: 1, Token: 6}
 	members := &pausableMembers{paused: map[string]uint64{}}
-	p := newPool("g", "z", members, func(poolEvent) {})
+	p := newPool("g", "z", members, nil, func(poolEvent) {})
 	for _, id := range []string{"primary", "r1", "r2"} {
 		p.members[id] = &poolMember{Member: Member{ID: id, Group: "g"}}
 	}
--- a/pkg/gateway/serving_test.go
+++ b/pkg/gateway/serving_test.go
@@ -79,7 +79,7 @@
 
 func TestOnlyTheServingSetOpensConnections(t *testing.T) {
 	g := NewWithT(t)
-	p := newPool("g", "z0", nil, func(poolEvent) {})
+	p := newPool("g", "z0", nil, nil, func(poolEvent) {})
 	p.maxConnections, p.servingInstances, p.inServingSet = 47, 13, true
 	m := &poolMember{Member: Member{ID: "m"}}
 	g.Expect(p.connLimit(m)).To(BeNumerically(">=", 2))
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -49,6 +49,10 @@
 	// another instance. That instance has charged the workspace's limit unless
 	// chargeRelayed is set.
 	isRelayed, chargeRelayed bool
+	// member is the member that the sender of a relayed statement has chosen, or "", and
+	// waited is how long the statement has waited there.
+	member string
+	waited time.Duration
 }
 
 // transaction is the client's open transaction.
@@ -66,6 +70,8 @@
 	relayID uint64
 	// uncharged is set until the workspace's limit has been charged.
 	uncharged bool
+	// member restricts the transaction to one member; "" does not.
+	member string
 }
 
 // run serves the client until the session ends.
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,7 +39,13 @@
 		s.endAfterError(st)
 		return statement.Reply{}, notRun(verdict.ReadOnlyRoute, "the transaction is read-only")
 	}
-	if tx.peer == nil && tx.conn == nil && !s.isRelayed {
+	switch byMember := tx.pool.servingScope() == placement.ServingByMember; {
+	case tx.peer != nil || tx.conn != nil || s.isRelayed:
+	case byMember:
+		if reply, ran, err := s.beginAtMembers(ctx, st, rec); ran {
+			return reply, err
+		}
+	default:
 		req := &connRequest{workspace: tx.workspace.Name, needsPrimary: !tx.readOnly || tx.route.Consistency == catalog.Strict}
 		if to := s.gw.relayTarget(tx.pool, req); to != nil {
 			tx.peer, tx.relayID = to, lastRelayedTransaction.Add(1)
@@ -59,7 +66,7 @@
 	if tx.peer != nil {
 		return s.relayInTransaction(ctx, st, false, rec)
 	}
-	deadline := time.Now().Add(statementTimeout(tx.route))
+	deadline := time.Now().Add(statementTimeout(tx.route) - s.waited)
 	if tx.conn == nil {
 		if err := s.beginAtMember(ctx, st, deadline, rec); err != nil {
 			s.endAfterError(st)
@@ -107,7 +114,7 @@
 // retrying on other members.
 func (s *session) beginAtMember(ctx context.Context, st statement.Statement, deadline time.Time, rec *requestRecord) error {
 	tx := s.tx
-	req := &connRequest{workspace: tx.workspace.Name, deadline: deadline, maxWait: maxQueueWait(tx.route)}
+	req := &connRequest{workspace: tx.workspace.Name, member: tx.member, deadline: deadline, maxWait: maxQueueWait(tx.route)}
 	var last error
 	useFloor := tx.route.Consistency != catalog.Strict
 	for range readAttempts {
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -1,17 +1,35 @@
 package gateway
 
 import (
+	"slices"
 	"time"
+
+	"github.com/mulberrysill/mulberrysill/core/placement"
 )
 
+// servingSets says which instances serve a group or its members.
+type servingSets struct {
+	self  string
+	scope placement.ServingScope
+	// instances is the size of the group's serving set, and includesSelf is set if this
+	// instance belongs to it. If each member has a set of its own, any instance may relay to
+	// it and charge the workspace's limit.
+	instances    int
+	includesSelf bool
+	// members holds the serving set of each member, of memberSetSize instances.
+	members       map[string][]string
+	memberSetSize int
+}
+
 // updateMembers applies the group's list of members: adds new ones, removes
 // those that are gone, and records which must get no new work.
-func (p *pool) updateMembers(members []Member, unlistedSince map[string]time.Time, isOutOfService func(zone string) bool, maxConnections, servingInstances int, inServingSet bool) {
+func (p *pool) updateMembers(members []Member, unlistedSince map[string]time.Time, isOutOfService func(zone string) bool, maxConnections int, serving servingSets) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.maxConnections != maxConnections || p.servingInstances != servingInstances || p.inServingSet != inServingSet
-	p.maxConnections, p.servingInstances, p.inServingSet = maxConnections, servingInstances, inServingSet
+	changed := p.maxConnections != maxConnections || p.servingInstances != serving.instances || p.inServingSet != serving.includesSelf
+	p.maxConnections, p.servingInstances, p.inServingSet = maxConnections, serving.instances, serving.includesSelf
+	p.scope, p.memberSetSize = serving.scope, serving.memberSetSize
 	present := make(map[string]bool, len(members))
 	for _, next := range members {
 		present[next.ID] = true
@@ -24,6 +42,9 @@
 			p.members[next.ID] = m
 			changed = true
 		}
+		served := serving.scope == placement.ServingByMember && slices.Contains(serving.members[next.ID], serving.self)
+		changed = changed || m.served != served
+		m.served = served
 		changed = m.updateEntry(next, unlistedSince[next.ID], isOutOfService(next.Zone), now) || changed
 	}
 	for id, m := range p.members {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"math"
 	"time"
 
@@ -50,6 +51,12 @@
 		}
 		p.closeUnused(m, now)
 	}
+	if p.fetchesPositions() {
+		if now.Sub(p.lastRead) < sampleDemandWindow && p.sampleAge() > maxSampleAge {
+			p.beginPositionFetch()
+		}
+		return
+	}
 	m := p.members[p.primary]
 	if m != nil && !m.down && now.Sub(p.lastRead) < sampleDemandWindow && p.sampleAge() > maxSampleAge {
 		if conn := m.anyIdle(); conn != nil {
@@ -84,6 +91,9 @@
 func (p *pool) needsSample() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.scope == placement.ServingByMember {
+		return false // see fetchPosition
+	}
 	return time.Since(p.lastRead) < sampleDemandWindow && p.sampleAge() > 2*maxSampleAge
 }
 
@@ -118,13 +128,21 @@
 	m.closeUnusedWitness(now)
 	for _, list := range m.idle {
 		for _, c := range append([]*pooledConn(nil), list...) {
-			if refusesWork || m.open > p.connLimit(m) || now.Sub(c.lastUsedAt) > idleConnTimeout {
+			if refusesWork || m.open > p.connLimit(m) || now.Sub(c.lastUsedAt) > p.idleTimeout(m) {
 				p.closeIdle(m, c)
 			}
 		}
 	}
 }
 
+// idleTimeout returns the time after which an unused connection to the member is closed.
+func (p *pool) idleTimeout(m *poolMember) time.Duration {
+	if p.scope == placement.ServingByMember && !m.served {
+		return reserveIdleTimeout
+	}
+	return idleConnTimeout
+}
+
 func (m *poolMember) anyIdle() *pooledConn {
 	for _, list := range m.idle {
 		if len(list) > 0 {
