--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -258,11 +258,12 @@
 		From: s.gw.cfg.ID + "/" + strconv.FormatInt(s.gw.started, 36), Database: s.startup.Database, Key: s.startup.Key,
 		Transaction: tx.relayID, Kind: uint32(statement.Rollback), Id: "-",
 	}
+	to := tx.peer
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 		defer cancel()
-		if _, err := tx.peer.client.Run(ctx, request); err != nil {
-			s.gw.log.WithFields(logrus.Fields{"event": "relay-rollback", "peer": tx.peer.ID}).WithError(err).Info("cannot tell peer to roll back; it will do so after its idle timeout")
+		if _, err := to.client.Run(ctx, request); err != nil {
+			s.gw.log.WithFields(logrus.Fields{"event": "relay-rollback", "peer": to.ID}).WithError(err).Info("cannot tell peer to roll back; it will do so after its idle timeout")
 		}
 	}()
 }
