--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -95,6 +95,24 @@
 	return l
 }
 
+// restartShare is the part of the tolerance that Widen leaves with which the bucket starts
+// after a restart. The rest covers what instances admit before they hear of each other.
+const restartShare = 0.5
+
+// RestartLevel returns the level at which the widened bucket of the limit starts on an
+// instance that has restarted, as a fraction of the widened burst. What the fleet admitted
+// before is unknown, and the bucket may have been empty. Without any tokens, an instance of
+// a large fleet refuses everything until its share of the refill amounts to one operation,
+// which takes seconds when all instances have restarted.
+func (t Tolerance) RestartLevel(l Limit) float64 {
+	widened := t.Widen(l)
+	if widened.Burst <= 0 || t.Slack <= 0 {
+		return 0
+	}
+	left := t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack - (widened.Burst - l.Burst)
+	return min(restartShare*max(left, 0)/widened.Burst, 1)
+}
+
 // Report is an instance's report to the others about one workspace.
 type Report struct {
 	// Admitted counts all operations admitted since the process started.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -118,6 +118,7 @@
 	g.relayedSessions.sessions = map[string]*relayedSession{}
 	g.requests = newRequestLog(cfg.Log, cfg.Metrics)
 	g.limits = newLimits(cfg.FirstStart, cfg.LimitTolerance)
+	g.limits.restartsWithTokens = cfg.ServingScope == placement.ServingByMember
 	g.peers = newPeers(g)
 	g.controller = newController(g)
 	return g
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -21,6 +21,9 @@
 	// initialLevel is the initial fill of new limiters, as a fraction of the
 	// burst.
 	initialLevel float64
+	// restartsWithTokens lets new limiters start with the part of the tolerance that is left
+	// for it, instead of initialLevel.
+	restartsWithTokens bool
 	// instances is the number of live instances.
 	instances int
 }
@@ -42,11 +45,16 @@
 	for i := range workspaces {
 		w := &workspaces[i]
 		names[w.Name] = true
-		limit := l.tolerance.Widen(quota.Limit{Rate: w.Rate, Burst: w.Burst})
+		stated := quota.Limit{Rate: w.Rate, Burst: w.Burst}
+		limit := l.tolerance.Widen(stated)
 		if limiter := l.limiters[w.Name]; limiter != nil {
 			limiter.SetLimit(limit, now)
 		} else {
-			limiter = quota.New(limit, l.initialLevel, now)
+			level := l.initialLevel
+			if l.restartsWithTokens {
+				level = max(level, l.tolerance.RestartLevel(stated))
+			}
+			limiter = quota.New(limit, level, now)
 			limiter.SetInstances(l.instances, false)
 			l.limiters[w.Name] = limiter
 		}
