Exchange demand five times a second after a restart

Cause: until the first exchange, an instance assumes that all others have the same demand. Change: with servingScope member, restarted instances exchange all workspaces every 200 ms for 2 s.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/quota"
 	"github.com/mulberrysill/mulberrysill/core/revision"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
@@ -49,8 +50,8 @@
 	}
 	needsSample := false
 	ps.gw.forEachPool(func(p *pool) { needsSample = needsSample || p.needsSample() })
-	interval := exchangeInterval
-	if needsSample || len(near) > 0 {
+	interval, wholeInterval := exchangeInterval, ps.wholeExchangeInterval()
+	if needsSample || len(near) > 0 || wholeInterval < exchangeInterval {
 		interval = urgentExchangeInterval
 	}
 	collector, isCollector := ps.collector()
@@ -96,7 +97,7 @@
 			dueSection = append(dueSection, p)
 		case confirms && id != collector:
 			dueConfirm = append(dueConfirm, p)
-		case now.Sub(p.lastAskedAll) < exchangeInterval:
+		case now.Sub(p.lastAskedAll) < wholeInterval:
 			dueNear = append(dueNear, p)
 		default:
 			p.lastAskedAll = now
@@ -118,6 +119,17 @@
 	}
 }
 
+// wholeExchangeInterval is the interval between exchanges that cover all workspaces. An
+// instance that has just restarted needs to know the demand of the others soon: until then it
+// assumes that all instances have the same, and refuses operations within the limits. In a
+// fleet that is served by group nothing is different after a restart.
+func (ps *peers) wholeExchangeInterval() time.Duration {
+	if ps.gw.cfg.ServingScope == placement.ServingByMember && !ps.gw.cfg.FirstStart && bootTime()-ps.startedAt < restartExchangePeriod {
+		return urgentExchangeInterval
+	}
+	return exchangeInterval
+}
+
 // exchangeSections asks the collectors of other zones for their sections.
 func (ps *peers) exchangeSections(ctx context.Context, due []*peer, now time.Time) {
 	if len(due) == 0 {
@@ -144,7 +156,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	switch {
-	case now.Sub(ps.periodStarted) >= exchangeInterval:
+	case now.Sub(ps.periodStarted) >= ps.wholeExchangeInterval():
 		ps.periodStarted, ps.nearPeriodStarted = now, now
 		ps.gw.limits.startPeriod(nil)
 	case len(near) > 0 && now.Sub(ps.nearPeriodStarted) >= urgentExchangeInterval:
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -24,6 +24,9 @@
 	// a recent position of a primary.
 	exchangeInterval       = time.Second
 	urgentExchangeInterval = 200 * time.Millisecond
+	// restartExchangePeriod is how long an instance exchanges states at the urgent interval
+	// after a restart.
+	restartExchangePeriod = 2 * time.Second
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 400 * time.Millisecond
 	// peerAliveTimeout is the time since the last message after which a peer
