Keep at most half of a member's connections open while idle

Cause: a member holds the connections of instances that lost power for 3 s, and few are left then. Change: idle connections beyond half of the limit are closed.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -159,7 +159,9 @@
 			Open: m.open, OpenLimit: p.connLimit(m), Busy: m.opening + m.busyConns(), BusyLimit: p.statementLimit(m),
 			Preferred: m.ID == p.preferredReplica(req.workspace),
 		}
-		c.IdleForOthers = m.idleCount - c.Idle
+		if c.IdleForOthers = m.idleCount - c.Idle; c.IdleForOthers > 0 {
+			c.OpenLimit = min(c.OpenLimit, p.keptConns(m))
+		}
 		if now.Before(m.connLimitUntil) {
 			c.OpenLimit = min(c.OpenLimit, m.open)
 		}
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -166,6 +166,9 @@
 		c.lastUsedAt = now
 		m.idle[c.workspace] = append(m.idle[c.workspace], c)
 		m.idleCount++
+		if p.queue.Len() == 0 {
+			p.closeSurplus(m)
+		}
 	}
 	p.dispatch()
 }
--- a/pkg/gateway/memberset.go
+++ b/pkg/gateway/memberset.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/core/membership"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 )
 
 const (
@@ -14,6 +15,11 @@
 	connsPerServingInstance = 30
 	// minMemberSetSize lets a member stay in service when an instance fails.
 	minMemberSetSize = 2
+	// keptConnShare is the fraction of a member's connections that its serving set keeps open
+	// while they are idle. After a loss of power the member holds the connections of the
+	// instances that are gone for several seconds; opening one takes less time than a
+	// statement, so that fewer idle ones cost callers little.
+	keptConnShare = 0.5
 	// reserveInstances is the number of instances outside the serving set that may share the
 	// connections that the set leaves unused. They are needed while instances disagree on
 	// which of them are healthy.
@@ -45,6 +51,27 @@
 	return max((p.maxConnections-shared)/reserveInstances, 1)
 }
 
+// keptConns returns the number of connections to the member from which on this instance
+// closes the least recently used idle one instead of keeping it.
+func (p *pool) keptConns(m *poolMember) int {
+	limit := p.connLimit(m)
+	if p.scope != placement.ServingByMember || !m.served {
+		return limit
+	}
+	return min(max(int(keptConnShare*float64(p.maxConnections))/max(p.memberSetSize, 1), minConnsPerMember), limit)
+}
+
+// closeSurplus closes the least recently used idle connection if the instance has more
+// connections to the member than it keeps. The caller holds p.mu.
+func (p *pool) closeSurplus(m *poolMember) {
+	if m.open <= p.keptConns(m) {
+		return
+	}
+	if oldest := m.oldestIdle(""); oldest != nil {
+		p.closeIdle(m, oldest)
+	}
+}
+
 // memberSet returns the instances that serve a member. The caller must not modify it.
 func (v *fleetView) memberSet(member, zone string, size int) []string {
 	return v.cached(member+"\x00"+zone+"\x00"+strconv.Itoa(size)+"\x00members", func() []string {
