Choose serving sets from all listed instances after a restart

Cause: a restarted instance took only itself for healthy and opened connections to all members (2,094 reset by members over their limit). Change: until half of the instances have been heard from, sets are chosen from the listed ones.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -234,9 +234,12 @@
 	}
 	out.instances, out.includesSelf = 1, true
 	out.memberSetSize, out.members = memberSetSize(maxConnections), make(map[string][]string, len(members))
-	healthy := c.gw.peers.healthyInstances()
+	view, listed := c.gw.peers.servingInstances()
+	if !listed {
+		return out
+	}
 	for i := range members {
-		out.members[members[i].ID] = healthy.memberSet(members[i].ID, members[i].Zone, out.memberSetSize)
+		out.members[members[i].ID] = view.memberSet(members[i].ID, members[i].Zone, out.memberSetSize)
 	}
 	return out
 }
--- a/pkg/gateway/fleetview.go
+++ b/pkg/gateway/fleetview.go
@@ -119,7 +119,11 @@
 // the mutex of peers.
 type fleetViews struct {
 	live, healthy *fleetView
-	builtAt       time.Time
+	// serving is the view from which the serving sets of members are chosen.
+	serving *fleetView
+	// unheard is the last view of all known instances that are not suspect.
+	unheard *fleetView
+	builtAt time.Time
 	// outdated is set by changes that must take effect at once.
 	outdated bool
 }
@@ -137,6 +141,13 @@
 	f.healthy = f.healthy.replace(ps.selectInstances(func(p *peer, now time.Time) bool {
 		return p.alive(now) && !now.Before(p.suspectUntil) && !p.lastHeard.IsZero()
 	}))
+	f.serving = f.healthy
+	if len(f.healthy.instances) <= len(ps.byID)/2 {
+		// After a restart nobody has been heard from yet. If each instance took only itself
+		// for healthy, all of them would open connections to all members.
+		f.serving = f.unheard.replace(ps.selectInstances(func(p *peer, now time.Time) bool { return !p.leaving && !now.Before(p.suspectUntil) }))
+		f.unheard = f.serving
+	}
 	f.builtAt, f.outdated = now, false
 	return f.live, f.healthy
 }
@@ -156,6 +167,15 @@
 	return live
 }
 
+// servingInstances returns a view of the instances that may serve members. It returns false
+// before the instances have been listed for the first time.
+func (ps *peers) servingInstances() (*fleetView, bool) {
+	ps.views()
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return ps.fleet.serving, ps.listedAt.Load() > 0 || bootTime()-ps.startedAt > listTimeout
+}
+
 // healthyInstances returns a view of the live instances that were heard from and are not
 // suspect, sorted by ID. They may run statements for others. It includes this instance
 // unless it is leaving.
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -46,7 +46,8 @@
 // memberOwner returns the peer that runs the workspace's statements at the member, or nil
 // if this instance does.
 func (ps *peers) memberOwner(m Member, workspace string, size int) *peer {
-	owner := ps.healthyInstances().memberOwner(m.ID, m.Zone, workspace, size)
+	view, _ := ps.servingInstances()
+	owner := view.memberOwner(m.ID, m.Zone, workspace, size)
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	return ps.byID[owner]
@@ -55,6 +56,9 @@
 // chooseDestination returns where to run a statement. It returns false if no member is
 // known to take it.
 func (p *pool) chooseDestination(req *connRequest) (destination, bool) {
+	if _, listed := p.instances.servingInstances(); !listed {
+		return destination{}, false
+	}
 	p.mu.Lock()
 	now := time.Now()
 	var members []Member
