Divide the tokens after a restart between the instances

Cause: below the reserve an instance spends only its share of the refill, so the tokens of a restarted limiter were not used. Change: each instance may admit its part of them. The ping of a silent peer waits 250 ms: pings of 150 ms failed at instances that had just started.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -180,6 +180,8 @@
 	periodLevel, periodAdmitted float64
 	// halfUsed is true once half of the period's allowance is used.
 	halfUsed bool
+	// grant is the number of operations that Grant has left to this instance.
+	grant uint64
 	// startedAt is when this limiter began to count. startedWithTokens is true if its
 	// bucket was not empty then, as at the first start of a fleet.
 	startedAt         time.Time
@@ -253,6 +255,8 @@
 	case l.level-1 >= reserveFraction*l.limit.Burst && l.periodAdmitted+1 <= allowance:
 	case l.credit >= 1 && l.level >= 1:
 		l.credit--
+	case l.grant > 0 && l.level >= 1:
+		l.grant--
 	default:
 		return false, l.retryAfter(share)
 	}
@@ -262,6 +266,11 @@
 	return true, 0
 }
 
+// Grant lets this instance admit a number of operations although the bucket is below the
+// reserve: its part of the tokens with which the bucket started after a restart. Until the
+// instances know of each other's demand, no share of the refill is better than any other.
+func (l *Limiter) Grant(operations uint64) { l.grant = operations }
+
 // fits reports whether the tokens above the reserve cover what all instances are asked
 // for until their next reports, given this instance's share of that.
 func (l *Limiter) fits(share float64, now time.Time) bool {
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,12 +26,15 @@
 	// restartsWithTokens lets new limiters start with the part of the tolerance that is left
 	// for it, instead of initialLevel.
 	restartsWithTokens bool
+	// grants holds the tokens of limiters that have yet to be divided between the instances,
+	// whose number is not known at the start.
+	grants map[string]float64
 	// instances is the number of live instances.
 	instances int
 }
 
 func newLimits(firstStart bool, tolerance quota.Tolerance) *limits {
-	l := &limits{limiters: map[string]*quota.Limiter{}, tolerance: tolerance}
+	l := &limits{limiters: map[string]*quota.Limiter{}, grants: map[string]float64{}, tolerance: tolerance}
 	if firstStart {
 		l.initialLevel = 1
 	}
@@ -51,8 +56,9 @@
 			limiter.SetLimit(limit, now)
 		} else {
 			level := l.initialLevel
-			if l.restartsWithTokens {
-				level = max(level, l.tolerance.RestartLevel(stated))
+			if l.restartsWithTokens && level == 0 {
+				level = l.tolerance.RestartLevel(stated)
+				l.grants[w.Name] = level * limit.Burst
 			}
 			limiter = quota.New(limit, level, now)
 			limiter.SetInstances(l.instances, false)
@@ -61,6 +67,7 @@
 	}
 	for name := range l.limiters {
 		if !names[name] {
+			delete(l.grants, name)
 			delete(l.limiters, name)
 		}
 	}
@@ -103,6 +110,24 @@
 	for _, limiter := range l.limiters {
 		limiter.SetInstances(instances, isolated)
 	}
+	if instances > 1 {
+		l.divideGrants()
+	}
+}
+
+// divideGrants gives this instance its part of the tokens with which limiters have started.
+// A part below one operation is one with that probability. The caller holds l.mu.
+func (l *limits) divideGrants() {
+	for name, tokens := range l.grants {
+		part, fraction := math.Modf(tokens / float64(l.instances))
+		if rand.Float64() < fraction {
+			part++
+		}
+		if limiter := l.limiters[name]; limiter != nil {
+			limiter.Grant(uint64(part))
+		}
+	}
+	clear(l.grants)
 }
 
 // report returns this instance's usage reports for the given workspaces that
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -15,8 +15,9 @@
 	// response, and give none to any other call, before it is asked whether it still
 	// responds.
 	relaySilenceTimeout = 150 * time.Millisecond
-	// pingTimeout bounds that question. A peer that runs answers it at once.
-	pingTimeout = 150 * time.Millisecond
+	// pingTimeout bounds that question. A peer that runs answers it at once, unless it has
+	// just started and its processor is busy.
+	pingTimeout = 250 * time.Millisecond
 )
 
 // pendingPing is a question to a peer that is in progress. responds may be read once done
