Order the admission queue by priority, as an option

Urgent requests waited behind earlier, less urgent ones: the queue ordered by fairness between workspaces only. NewPriorityQueue returns a queue that orders by the priority of the route first, with a minimum share of the service for each priority that waits, and fairly between workspaces within a priority. A full queue evicts from the least urgent priority present. An item that is about to miss its objective may go first within a bounded lead.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -38,13 +37,19 @@
 	Database string
 	// Deadline is the time at which the item expires; zero if it does not.
 	Deadline time.Time
+	// Priority is the urgency of the item's route, 0 being the most urgent. A queue
+	// that was made by NewQueue ignores it.
+	Priority int
+	// Target is the time until which a response meets the objective of the item's
+	// route; zero if it has none. A queue that was made by NewQueue ignores it.
+	Target time.Time
 }
 
-// account is the state of one workspace in the queue.
+// account is the state of one workspace in a class.
 type account struct {
 	weight float64
 	// virtualTime is the service received, in seconds, divided by the weight. It is
-	// raised to the queue's virtual time when a request arrives while no other one
+	// raised to the class's virtual time when a request arrives while no other one
 	// of the workspace waits, so that an idle workspace accumulates no credit.
 	virtualTime float64
 	// items are the waiting requests in order of arrival.
@@ -53,18 +58,24 @@
 	meanCostSeconds float64
 	// attainedService is the service received on this instance since its start.
 	attainedService time.Duration
+	// samples is the number of costs learned, in a queue with priorities.
+	samples int
 }
 
 // Queue is the fair queue of one database group on one instance. It dispatches the
 // requests of the workspace that has received the least service relative to its
-// weight (stride scheduling). It is not safe for concurrent use.
+// weight (stride scheduling). NewPriorityQueue returns one that orders by priority
+// first. It is not safe for concurrent use.
 type Queue struct {
 	limit   int
 	waiting int
-	// virtualTime is the highest virtual time that a workspace had when one of its
-	// items was dispatched.
-	virtualTime float64
-	accounts    map[string]*account
+	// classes are the priorities, the most urgent first. A queue without priorities
+	// has one.
+	classes []*class
+	// priorities holds the settings of a queue with priorities; nil without.
+	priorities *PrioritySettings
+	// now is the time of the last call of Advance or Expire.
+	now time.Time
 	// remoteService holds the last report of each other instance, by workspace.
 	remoteService map[string]map[string]time.Duration
 }
@@ -76,7 +87,7 @@
 		limit = DefaultQueueLimit
 	}
 	return &Queue{
-		limit: limit, accounts: map[string]*account{},
+		limit: limit, classes: []*class{newClass(0)},
 		remoteService: map[string]map[string]time.Duration{},
 	}
 }
@@ -85,97 +96,122 @@
 func (q *Queue) Len() int { return q.waiting }
 
 // Push adds the item. If the queue is full, it removes and returns one item, whose
-// request is to be refused with SQLSTATE 53300: the newest item of the workspace
-// with the most waiting items relative to its weight. One workspace therefore
-// cannot fill the queue at the expense of the others. The refused item may be the
-// one that was pushed.
+// request is to be refused with SQLSTATE 53300: of the least urgent priority that
+// waits, the newest item of the workspace with the most waiting items relative to
+// its weight. One workspace therefore cannot fill the queue at the expense of the
+// others. The refused item may be the one that was pushed.
 func (q *Queue) Push(it Item) (refused Item, full bool) {
-	a := q.account(it.Workspace)
+	c := q.class(it.Priority)
+	a := c.account(it.Workspace)
 	a.weight = float64(max(it.Weight, 1))
 	if len(a.items) == 0 {
-		a.virtualTime = max(a.virtualTime, q.virtualTime)
+		a.virtualTime = max(a.virtualTime, c.virtualTime)
 	}
 	a.items = append(a.items, it)
+	c.waiting++
 	q.waiting++
 	if q.waiting <= q.limit {
 		return Item{}, false
 	}
-	longest := a
-	for _, b := range q.accounts {
-		if float64(len(b.items))/b.weight > float64(len(longest.items))/longest.weight {
-			longest = b
-		}
+	last := len(q.classes) - 1
+	for q.classes[last].waiting == 0 {
+		last--
 	}
-	last := len(longest.items) - 1
-	refused = longest.items[last]
-	longest.items = longest.items[:last]
-	q.waiting--
+	c = q.classes[last]
+	longest := c.longest(it.ID)
+	i := len(longest.items) - 1
+	refused = longest.items[i]
+	q.remove(c, longest, i)
 	return refused, true
 }
 
+// remove removes item i of the account.
+func (q *Queue) remove(c *class, a *account, i int) {
+	a.items = slices.Delete(a.items, i, i+1)
+	q.waiting--
+	c.removed(1)
+}
+
 // Peek returns the item that Next would return, without removing it.
 func (q *Queue) Peek(match func(Item) bool) (Item, bool) {
-	a, i := q.findNext(match)
+	_, a, i := q.findNext(match)
 	if a == nil {
 		return Item{}, false
 	}
 	return a.items[i], true
 }
 
-// Next removes and returns the first matching item of the workspace with the least
-// virtual time, among those that have a matching item. It charges the workspace
-// its mean cost and returns that charge; Done replaces it by the actual cost.
+// Next removes and returns the first matching item in the order of the queue: the
+// first matching item of the workspace with the least virtual time, among those that
+// have a matching item. findNext describes the order of a queue with priorities.
+// Next charges the workspace its mean cost and returns that charge; Done replaces it
+// by the actual cost.
 func (q *Queue) Next(match func(Item) bool) (it Item, charged time.Duration, ok bool) {
-	a, i := q.findNext(match)
+	c, a, i := q.findNext(match)
 	if a == nil {
 		return Item{}, 0, false
 	}
 	it = a.items[i]
-	a.items = slices.Delete(a.items, i, i+1)
-	q.waiting--
-	q.virtualTime = max(q.virtualTime, a.virtualTime)
+	c.virtualTime = max(c.virtualTime, a.virtualTime)
 	charged = time.Duration(a.meanCostSeconds * float64(time.Second))
-	q.charge(a, charged)
+	c.charge(a, charged)
+	q.credit(c, charged)
+	q.remove(c, a, i)
 	return it, charged, true
 }
 
 // Done records that a dispatched request has released its connection, which it
-// held for cost. charged is the charge that Next returned for the request.
+// held for cost. charged is the charge that Next returned for the request. A queue
+// with priorities needs DoneWithPriority for requests of other priorities than 0.
 func (q *Queue) Done(workspace string, charged, cost time.Duration) {
-	a := q.account(workspace)
+	q.DoneWithPriority(workspace, 0, charged, cost)
+}
+
+// DoneWithPriority is Done for a request of the priority.
+func (q *Queue) DoneWithPriority(workspace string, priority int, charged, cost time.Duration) {
+	c := q.class(priority)
+	a := c.account(workspace)
 	a.attainedService += cost
-	a.meanCostSeconds += costSmoothing * (cost.Seconds() - a.meanCostSeconds)
-	q.charge(a, cost-charged)
+	if q.priorities == nil {
+		a.meanCostSeconds += costSmoothing * (cost.Seconds() - a.meanCostSeconds)
+	} else {
+		c.learnCost(a, cost)
+	}
+	c.charge(a, cost-charged)
 }
 
 // Remove removes the item, for example when its client has disconnected, and
 // reports whether it was in the queue.
 func (q *Queue) Remove(workspace string, id uint64) bool {
-	a := q.accounts[workspace]
-	if a == nil {
-		return false
-	}
-	i := slices.IndexFunc(a.items, func(it Item) bool { return it.ID == id })
-	if i < 0 {
-		return false
+	for _, c := range q.classes {
+		a := c.accounts[workspace]
+		if a == nil {
+			continue
+		}
+		if i := slices.IndexFunc(a.items, func(it Item) bool { return it.ID == id }); i >= 0 {
+			q.remove(c, a, i)
+			return true
+		}
 	}
-	a.items = slices.Delete(a.items, i, i+1)
-	q.waiting--
-	return true
+	return false
 }
 
 // RemoveMatching removes and returns all matching items, for example those for a
 // member that is no longer in service.
 func (q *Queue) RemoveMatching(match func(Item) bool) []Item {
 	var taken []Item
-	for _, a := range q.accounts {
-		a.items = slices.DeleteFunc(a.items, func(it Item) bool {
-			if !match(it) {
-				return false
-			}
-			taken = append(taken, it)
-			return true
-		})
+	for _, c := range q.classes {
+		before := len(taken)
+		for _, a := range c.accounts {
+			a.items = slices.DeleteFunc(a.items, func(it Item) bool {
+				if !match(it) {
+					return false
+				}
+				taken = append(taken, it)
+				return true
+			})
+		}
+		c.removed(len(taken) - before)
 	}
 	q.waiting -= len(taken)
 	return taken
@@ -183,17 +219,16 @@
 
 // Expire removes and returns the items whose deadline has been reached.
 func (q *Queue) Expire(now time.Time) []Item {
+	q.Advance(now)
 	return q.RemoveMatching(func(it Item) bool { return !it.Deadline.IsZero() && !it.Deadline.After(now) })
 }
 
 // CountWaiting returns the number of matching items.
 func (q *Queue) CountWaiting(match func(Item) bool) int {
 	n := 0
-	for _, a := range q.accounts {
-		for _, it := range a.items {
-			if match(it) {
-				n++
-			}
+	for _, c := range q.classes {
+		for _, a := range c.accounts {
+			n += a.count(match)
 		}
 	}
 	return n
@@ -202,10 +237,12 @@
 // AttainedService returns the service that each workspace has received from this queue,
 // for the reports to other instances.
 func (q *Queue) AttainedService() map[string]time.Duration {
-	m := make(map[string]time.Duration, len(q.accounts))
-	for name, a := range q.accounts {
-		if a.attainedService > 0 {
-			m[name] = a.attainedService
+	m := map[string]time.Duration{}
+	for _, c := range q.classes {
+		for name, a := range c.accounts {
+			if a.attainedService > 0 {
+				m[name] += a.attainedService
+			}
 		}
 	}
 	return m
@@ -217,13 +254,17 @@
 // instance only sets the baseline for the next, as does a lower value after the
 // instance has restarted. Values are cumulative, so the next report makes up for a
 // lost one.
+//
+// Reports do not state priorities. A queue with priorities divides the charge like
+// the service that the workspace has received here; a workspace that has received
+// none is not charged.
 func (q *Queue) RecordRemoteService(instance string, attained map[string]time.Duration) {
 	last, known := q.remoteService[instance]
 	next := make(map[string]time.Duration, len(attained))
 	for workspace, service := range attained {
 		next[workspace] = service
 		if before := last[workspace]; known && service > before {
-			q.charge(q.account(workspace), service-before)
+			q.chargeRemote(workspace, service-before)
 		}
 	}
 	q.remoteService[instance] = next
@@ -232,36 +273,22 @@
 // ForgetInstance drops the baseline of an instance that has left.
 func (q *Queue) ForgetInstance(instance string) { delete(q.remoteService, instance) }
 
-// account returns the account of the workspace, and creates a missing one.
-func (q *Queue) account(workspace string) *account {
-	a := q.accounts[workspace]
-	if a == nil {
-		a = &account{weight: 1, virtualTime: q.virtualTime, meanCostSeconds: initialCost.Seconds()}
-		q.accounts[workspace] = a
+// chargeRemote charges the workspace for service on another instance.
+func (q *Queue) chargeRemote(workspace string, service time.Duration) {
+	if q.priorities == nil {
+		c := q.classes[0]
+		c.charge(c.account(workspace), service)
+		return
 	}
-	return a
-}
-
-// charge advances the account's virtual time by the service.
-func (q *Queue) charge(a *account, service time.Duration) {
-	a.virtualTime = min(a.virtualTime+service.Seconds()/a.weight, q.virtualTime+maxVirtualTimeLead.Seconds())
-}
-
-// findNext returns the account with the least virtual time among those that have a
-// matching item, and the index of its first matching item. Ties go to the lower
-// ID, that is, to the item that arrived first.
-func (q *Queue) findNext(match func(Item) bool) (*account, int) {
-	var best *account
-	bestIndex, leastTime := 0, math.Inf(1)
-	for _, a := range q.accounts {
-		if a.virtualTime > leastTime || len(a.items) == 0 {
-			continue
+	var attained time.Duration
+	for _, c := range q.classes {
+		if a := c.accounts[workspace]; a != nil {
+			attained += a.attainedService
 		}
-		i := slices.IndexFunc(a.items, match)
-		if i < 0 || (a.virtualTime == leastTime && a.items[i].ID > best.items[bestIndex].ID) {
-			continue
+	}
+	for _, c := range q.classes {
+		if a := c.accounts[workspace]; a != nil && a.attainedService > 0 {
+			c.charge(a, time.Duration(service.Seconds()*(a.attainedService.Seconds()/attained.Seconds())*float64(time.Second)))
 		}
-		best, bestIndex, leastTime = a, i, a.virtualTime
 	}
-	return best, bestIndex
 }
