--- a/core/admission/priority.go
+++ b/core/admission/priority.go
@@ -10,6 +10,8 @@
 const (
 	// DefaultMinShare is the default of PrioritySettings.MinShare.
 	DefaultMinShare = 0.05
+	// defaultMembers is the size of a database group.
+	defaultMembers = 3
 	// maxTotalMinShare bounds the sum of the minimum shares, so that the order by
 	// priority keeps at least half of the service with any number of priorities.
 	maxTotalMinShare = 0.5
@@ -30,8 +32,12 @@
 // default, and a negative value turns the rule off.
 type PrioritySettings struct {
 	// MinShare is the fraction of the service that each priority with waiting items
-	// receives at least.
+	// receives at least. It is kept separately for the items of each Item.Member:
+	// requests that only the primary can serve are not compensated by service of the
+	// replicas.
 	MinShare float64
+	// Members is the number of members that share the items that name none.
+	Members int
 	// TargetWindow is how long before the latest start that meets its target an item
 	// may go before other items of its priority.
 	TargetWindow time.Duration
@@ -54,8 +60,17 @@
 	meanCostSeconds float64
 	// samples is the number of costs in the average.
 	samples int
-	// creditSeconds is the service that the class lacks to its minimum share.
-	creditSeconds float64
+	// shares are the minimum shares of the members that items have named, by member.
+	shares []*memberShare
+}
+
+// memberShare is the state of a class's minimum share of the service of one member.
+type memberShare struct {
+	// member is empty for items that any member can serve.
+	member  string
+	waiting int
+	// credit is the service that the items lack to the minimum share, in seconds.
+	credit float64
 }
 
 func newClass(priority int) *class {
@@ -70,6 +85,9 @@
 		settings.MinShare = DefaultMinShare
 	}
 	settings.MinShare = max(settings.MinShare, 0)
+	if settings.Members <= 0 {
+		settings.Members = defaultMembers
+	}
 	settings.TargetWindow = cmp.Or(settings.TargetWindow, DefaultTargetWindow)
 	settings.TargetLead = cmp.Or(settings.TargetLead, DefaultTargetLead)
 	q := NewQueue(limit)
@@ -107,17 +125,19 @@
 
 // findNext returns the next matching item: its class, account and index.
 //
-// The first class is the most urgent one that has collected the cost of a request
-// towards its minimum share, and otherwise the most urgent one. Within a class, the
+// The items of a class and member that have collected the cost of a request towards
+// their minimum share come first, and then the most urgent class. Within a class, the
 // account with the least virtual time is next, unless an item is about to miss its
 // target.
 func (q *Queue) findNext(match func(Item) bool) (*class, *account, int) {
 	for _, c := range q.classes {
-		if !q.isOwed(c) {
-			continue
-		}
-		if a, i := q.findInClass(c, match); a != nil {
-			return c, a, i
+		for _, s := range c.shares {
+			if !q.isOwed(c, s) {
+				continue
+			}
+			if a, i := q.findInClass(c, func(it Item) bool { return it.Member == s.member && match(it) }); a != nil {
+				return c, a, i
+			}
 		}
 	}
 	for _, c := range q.classes {
@@ -128,41 +148,68 @@
 	return nil, nil, 0
 }
 
-// isOwed reports whether the class has collected the cost of a request.
-func (q *Queue) isOwed(c *class) bool {
-	return q.minShare() > 0 && c.waiting > 0 && c.creditSeconds >= c.shareCost()
+// isOwed reports whether the share has collected the cost of a request.
+func (q *Queue) isOwed(c *class, s *memberShare) bool {
+	return q.minShare() > 0 && s.waiting > 0 && s.credit >= c.shareCost()
 }
 
 // shareCost returns the credit that the class needs for a request.
 func (c *class) shareCost() float64 { return min(c.meanCostSeconds, maxShareCredit.Seconds()) }
 
-// credit records that a request of the class is dispatched for the charge. Each
-// class with waiting items collects its minimum share of the charge. Service in
-// the order of the priorities does not put a class into debt.
-func (q *Queue) credit(served *class, charge time.Duration) {
-	share := q.minShare()
-	if share == 0 {
+// share returns the minimum share for the member, and creates a missing one.
+func (c *class) share(member string) *memberShare {
+	i, found := slices.BinarySearchFunc(c.shares, member, func(s *memberShare, m string) int { return cmp.Compare(s.member, m) })
+	if !found {
+		c.shares = slices.Insert(c.shares, i, &memberShare{member: member})
+	}
+	return c.shares[i]
+}
+
+// credit records that an item of the class is dispatched for the charge. All waiting
+// items that could have been served by the same member collect the minimum share of
+// the charge. Service of an item that names no member is divided among the members.
+// Service in the order of the priorities does not put a class into debt.
+func (q *Queue) credit(served *class, member string, charge time.Duration) {
+	minShare := q.minShare()
+	if minShare == 0 {
 		return
 	}
-	owed := q.isOwed(served)
+	own := served.share(member)
+	owed := q.isOwed(served, own)
 	for _, c := range q.classes {
-		if c.waiting > 0 {
-			c.creditSeconds = min(c.creditSeconds+float64(share*charge.Seconds()), maxShareCredit.Seconds())
+		for _, s := range c.shares {
+			collected := minShare * charge.Seconds()
+			switch {
+			case s.waiting == 0:
+				continue
+			case member == "" && s.member != "":
+				collected /= float64(q.priorities.Members)
+			case s.member != "" && s.member != member:
+				continue
+			}
+			s.credit = min(s.credit+collected, maxShareCredit.Seconds())
 		}
 	}
-	lowest := min(served.creditSeconds, 0)
+	lowest := min(own.credit, 0)
 	if owed {
 		lowest = -maxShareCredit.Seconds()
 	}
-	served.creditSeconds = max(served.creditSeconds-charge.Seconds(), lowest)
+	own.credit = max(own.credit-charge.Seconds(), lowest)
+}
+
+// added and removed record that an item waits and no longer waits. Items that do not
+// wait collect no credit for later.
+func (c *class) added(it *Item) {
+	c.waiting++
+	c.share(it.Member).waiting++
 }
 
-// removed records that n items of the class no longer wait. A class that does not
-// wait collects no credit for later.
-func (c *class) removed(n int) {
-	c.waiting -= n
-	if c.waiting == 0 {
-		c.creditSeconds = min(c.creditSeconds, 0)
+func (c *class) removed(it *Item) {
+	c.waiting--
+	s := c.share(it.Member)
+	s.waiting--
+	if s.waiting == 0 {
+		s.credit = min(s.credit, 0)
 	}
 }
 
@@ -249,7 +296,7 @@
 		if a.virtualTime > maxVirtualTime {
 			continue
 		}
-		cost := time.Duration(a.meanCostSeconds * float64(time.Second))
+		cost := a.meanCost()
 		for i := range a.items {
 			it := &a.items[i]
 			left := it.Target.Sub(q.now) - cost
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -32,7 +32,8 @@
 	Workspace string
 	// Weight is the workspace's share of the service relative to other workspaces;
 	// 0 means 1.
-	Weight   uint32
+	Weight uint32
+	// Member is the member that is to serve the item; empty if any can.
 	Member   string
 	Database string
 	// Deadline is the time at which the item expires; zero if it does not.
@@ -60,6 +61,9 @@
 	attainedService time.Duration
 	// samples is the number of costs learned, in a queue with priorities.
 	samples int
+	// wait is the moving average of the waits reported to RecordWait, and overtaken
+	// that of the service of later requests in these waits, both in seconds.
+	wait, overtaken float64
 }
 
 // Queue is the fair queue of one database group on one instance. It dispatches the
@@ -108,7 +112,7 @@
 		a.virtualTime = max(a.virtualTime, c.virtualTime)
 	}
 	a.items = append(a.items, it)
-	c.waiting++
+	c.added(&it)
 	q.waiting++
 	if q.waiting <= q.limit {
 		return Item{}, false
@@ -127,9 +131,9 @@
 
 // remove removes item i of the account.
 func (q *Queue) remove(c *class, a *account, i int) {
+	c.removed(&a.items[i])
 	a.items = slices.Delete(a.items, i, i+1)
 	q.waiting--
-	c.removed(1)
 }
 
 // Peek returns the item that Next would return, without removing it.
@@ -153,9 +157,9 @@
 	}
 	it = a.items[i]
 	c.virtualTime = max(c.virtualTime, a.virtualTime)
-	charged = time.Duration(a.meanCostSeconds * float64(time.Second))
+	charged = a.meanCost()
 	c.charge(a, charged)
-	q.credit(c, charged)
+	q.credit(c, it.Member, charged)
 	q.remove(c, a, i)
 	return it, charged, true
 }
@@ -201,17 +205,16 @@
 func (q *Queue) RemoveMatching(match func(Item) bool) []Item {
 	var taken []Item
 	for _, c := range q.classes {
-		before := len(taken)
 		for _, a := range c.accounts {
 			a.items = slices.DeleteFunc(a.items, func(it Item) bool {
 				if !match(it) {
 					return false
 				}
 				taken = append(taken, it)
+				c.removed(&it)
 				return true
 			})
 		}
-		c.removed(len(taken) - before)
 	}
 	q.waiting -= len(taken)
 	return taken
@@ -288,7 +291,7 @@
 	}
 	for _, c := range q.classes {
 		if a := c.accounts[workspace]; a != nil && a.attainedService > 0 {
-			c.charge(a, time.Duration(service.Seconds()*(a.attainedService.Seconds()/attained.Seconds())*float64(time.Second)))
+			c.charge(a, seconds(service.Seconds()*a.attainedService.Seconds()/attained.Seconds()))
 		}
 	}
 }
