Test that a priority that no longer waits forgets its credit

With the reset taken out, no test failed. The new one does: a burst after a pause was served against urgent requests with credit from before.

--- a/core/admission/priority_test.go
+++ b/core/admission/priority_test.go
@@ -108,6 +108,19 @@
 		q.serve(100)
 		Expect(q.byPriority[2]).To(BeNumerically("<=", 27), "200 ms of credit, 5 percent of the service, and one request in progress")
 	})
+	It("forgets the credit of a priority that no longer waits: a burst against urgent work long after", func() {
+		q := newPriorityQueue(5000, admission.PrioritySettings{})
+		q.add("a", 2, 500)
+		q.add("b", 0, 2000)
+		for range 1000 {
+			it, charged, _ := q.Next(func(it admission.Item) bool { return it.Priority == 0 })
+			q.DoneWithPriority(it.Workspace, 0, charged, requestCost)
+		}
+		q.RemoveMatching(func(it admission.Item) bool { return it.Priority == 2 })
+		q.add("a", 2, 100)
+		q.serve(100)
+		Expect(q.byPriority[2]).To(BeNumerically("<=", 6))
+	})
 	It("is fair between workspaces within a priority, also to one that sends at another priority", func() {
 		q := newPriorityQueue(5000, noMinShare)
 		q.add("large", 0, 100)
