--- a/core/pace/coldstart.go
+++ b/core/pace/coldstart.go
@@ -11,6 +11,8 @@
 	// coldTolerance and coldToleranceExtra say how many requests in a span of coldSpan
 	// the platform tolerates, as a multiple of the rate and in addition to it.
 	coldTolerance, coldToleranceExtra = 1.5, 5
+	// maxColdInterval keeps intervals of very low rates within the range of a Duration.
+	maxColdInterval = 1000 * time.Hour
 )
 
 // ColdStart limits the requests of one instance to a member while the member is cold.
@@ -106,7 +108,7 @@
 // exactInterval returns the interval at which n instances together send rate requests
 // per second.
 func exactInterval(rate float64, n int) time.Duration {
-	return time.Duration(math.Ceil(float64(n) * float64(time.Second) / rate))
+	return time.Duration(math.Ceil(min(float64(n)*float64(time.Second)/rate, float64(maxColdInterval))))
 }
 
 // coldInterval returns the interval of each of n instances. A single instance may have
--- a/core/pace/learned.go
+++ b/core/pace/learned.go
@@ -7,12 +7,30 @@
 	// used. Service times have a coefficient of variation of about 0.9, so that the
 	// standard error of a mean of 8 is a third.
 	minKnownAnswers = 8
-	// learningTime is the time over which answer times are averaged at high rates.
+	// answerWeight is the weight of one answer in the moving averages, which gives a
+	// standard error of 11%.
+	answerWeight = 0.03
+	// changeWeight bounds the weight of one answer in the averages that detect a
+	// change, and learningTime is the time that these cover at lower rates. They let a
+	// member whose statements take 150 ms show within a second that it is slow.
+	changeWeight = 0.125
 	learningTime = 250 * time.Millisecond
-	// minAnswerWeight and maxAnswerWeight bound the weight of one answer in the moving
-	// averages. The upper bound lets a member whose statements take 150 ms show
-	// within a second that it is slow.
-	minAnswerWeight, maxAnswerWeight = 0.02, 0.125
+	// changeRatio is the ratio of the two averages from which on the member's speed
+	// has changed; the standard error of the faster one is 24%. The learned times are
+	// then those of the faster one for changeAnswers answers.
+	changeRatio   = 1.8
+	changeAnswers = 24
+	// slowStreak is the number of consecutive answers that took slowRatio times the mean
+	// after which the mean of these replaces the averages, if they came over at least
+	// slowStreakTime. With the moving average alone, a member whose statements take
+	// 150 ms instead of 30 ms showed less than half of that after 1.2 s. At constant
+	// speed a sixth of the answers take that long; the time excludes bursts of answers
+	// that waited for the same slow statements.
+	slowStreak     = 5
+	slowRatio      = 1.5
+	slowStreakTime = 50 * time.Millisecond
+	// maxStreakRatio bounds the answer times of a streak, as a multiple of the mean.
+	maxStreakRatio = 10
 	// maxAnswerRatio bounds the answer times that are averaged, as a multiple of the
 	// mean, so that a single slow statement does not change the limit.
 	maxAnswerRatio = 4
@@ -34,35 +52,81 @@
 // answers holds moving averages over the answers of a member.
 type answers struct {
 	samples uint64
-	// seconds is the mean answer time.
-	seconds float64
-	// concurrent is the mean number of statements in progress during a statement.
-	concurrent float64
+	// mean is the average that is used, and recent the one that detects a change.
+	mean, recent answerAverage
+	// adapting is the number of answers for which mean still equals recent.
+	adapting int
+	// streak is the average over the last slowAnswers answers, all of which were slow.
+	streak      answerAverage
+	slowAnswers int
+	slowSince   time.Time
 	// failed is the fraction of the statements that failed.
 	failed float64
 	lastAt time.Time
 }
 
-func (a *answers) known() bool             { return a.samples >= minKnownAnswers }
-func (a *answers) meanTime() time.Duration { return time.Duration(a.seconds * float64(time.Second)) }
+// answerAverage holds the mean answer time and the mean number of statements in
+// progress during a statement.
+type answerAverage struct{ seconds, concurrent float64 }
+
+func (a *answerAverage) observe(weight, seconds, concurrent float64) {
+	a.seconds += weight * (seconds - a.seconds)
+	a.concurrent += weight * (concurrent - a.concurrent)
+}
+
+func (a *answerAverage) time() time.Duration {
+	return time.Duration(a.seconds * float64(time.Second))
+}
+
+func (a *answers) known() bool { return a.samples >= minKnownAnswers }
 
 // observe adds an answer and returns the time that was averaged.
 func (a *answers) observe(now time.Time, took time.Duration, concurrent float64) time.Duration {
+	took = max(took, minAnswerTime)
+	raw := took
 	if a.known() {
-		took = min(took, maxAnswerRatio*a.meanTime())
+		took = min(took, maxAnswerRatio*a.recent.time())
 	}
-	took = max(took, minAnswerTime)
-	weight := min(max(now.Sub(a.lastAt).Seconds()/learningTime.Seconds(), minAnswerWeight), maxAnswerWeight)
 	a.samples++
-	weight = max(weight, 1/float64(a.samples))
-	a.seconds += weight * (took.Seconds() - a.seconds)
-	a.concurrent += weight * (concurrent - a.concurrent)
-	a.failed -= weight * a.failed
+	first := 1 / float64(a.samples)
+	weight := min(max(now.Sub(a.lastAt).Seconds()/learningTime.Seconds(), answerWeight), changeWeight)
+	a.recent.observe(max(weight, first), took.Seconds(), concurrent)
+	a.mean.observe(max(answerWeight, first), took.Seconds(), concurrent)
+	if a.observeStreak(now, raw.Seconds(), concurrent) {
+		a.recent, a.adapting = a.streak, changeAnswers
+	}
+	if ratio := a.recent.seconds / a.mean.seconds; a.known() && (ratio > changeRatio || ratio < 1/changeRatio) {
+		a.adapting = changeAnswers
+	}
+	if a.adapting > 0 {
+		a.adapting--
+		a.mean = a.recent
+	}
+	a.failed -= changeWeight * a.failed
 	a.lastAt = now
 	return took
 }
 
-func (a *answers) noteFailure() { a.failed += maxAnswerWeight * (1 - a.failed) }
+// observeStreak adds an answer to the streak of slow answers, and reports whether that
+// is now long enough to show that the member is slower.
+func (a *answers) observeStreak(now time.Time, seconds, concurrent float64) bool {
+	if !a.known() || seconds < slowRatio*a.mean.seconds {
+		a.slowAnswers = 0
+		return false
+	}
+	if a.slowAnswers == 0 {
+		a.streak, a.slowSince = answerAverage{}, now
+	}
+	a.slowAnswers++
+	a.streak.observe(1/float64(a.slowAnswers), min(seconds, maxStreakRatio*a.mean.seconds), concurrent)
+	if a.slowAnswers < slowStreak || now.Sub(a.slowSince) < slowStreakTime {
+		return false
+	}
+	a.slowAnswers = 0
+	return a.streak.seconds > a.recent.seconds
+}
+
+func (a *answers) noteFailure() { a.failed += changeWeight * (1 - a.failed) }
 
 // roundTrip keeps the shortest time of an exchange with the member in the present and
 // the previous window.
--- a/core/pace/limiter.go
+++ b/core/pace/limiter.go
@@ -10,10 +10,16 @@
 	// serving instances together may have in progress at a member. More would only
 	// wait in the member's own queue, which is not ordered by urgency.
 	statementsPerSlot = 3
-	// waitingPerSlot is the number of statements per slot that may wait at the member
-	// in addition to those that run or are on the network. It keeps the slots busy
-	// when several statements end within one round trip.
-	waitingPerSlot = 0.5
+	// minWaitingPerSlot and maxWaitingPerSlot bound the number of statements per slot
+	// that may wait at the member in addition to those that run or are on the network.
+	// The lower bound keeps the slots busy when several statements end within one
+	// round trip. With the upper bound, one of two instances can use all slots while
+	// the other one has no demand.
+	minWaitingPerSlot, maxWaitingPerSlot = 0.5, 1.0
+	// maxMemberWait is the mean time in the member's queue above which fewer than
+	// maxWaitingPerSlot statements wait there: about a tenth of the shortest objective
+	// of a route (150 ms).
+	maxMemberWait = 20 * time.Millisecond
 	// initialLimit is the limit at which slow start begins.
 	initialLimit = 1
 	// slowFactor is the ratio of service times from which on a member counts as slow
@@ -259,7 +265,7 @@
 		}
 	default:
 		// A lost statement took at least this long.
-		if outcome == Lost && l.learned.known() && took > l.learned.meanTime() {
+		if outcome == Lost && l.learned.known() && took > l.learned.mean.time() {
 			l.observe(now, took, (l.load-s.load)/took.Seconds())
 		}
 		l.learned.noteFailure()
@@ -295,7 +301,7 @@
 
 // serviceTime returns the learned time that a statement occupies a slot.
 func (l *Limiter) serviceTime() time.Duration {
-	return l.deriveService(l.learned.meanTime(), l.learned.concurrent)
+	return l.deriveService(l.learned.mean.time(), l.learned.mean.concurrent)
 }
 
 // deriveService derives the service time from a mean answer time. An answer takes
@@ -320,8 +326,10 @@
 	if !l.learned.known() {
 		return float64(l.UpperBound())
 	}
-	onNetwork := float64(l.roundTrip.estimate()) / float64(l.serviceTime())
-	return min(max(l.share()*(1+waitingPerSlot+onNetwork), 1), float64(l.UpperBound()))
+	service := float64(l.serviceTime())
+	waiting := min(max(float64(maxMemberWait)/service, minWaitingPerSlot), maxWaitingPerSlot)
+	onNetwork := float64(l.roundTrip.estimate()) / service
+	return min(max(l.share()*(1+waiting+onNetwork), 1), float64(l.UpperBound()))
 }
 
 // adjust changes the limit after an answer.
