--- a/core/pace/limiter.go
+++ b/core/pace/limiter.go
@@ -224,12 +224,25 @@
 // caller tries again after the next call of Finish and at RetryAt.
 func (l *Limiter) MayStart(now time.Time) bool {
 	if l.inProgress >= l.limit {
-		l.round.limited = true
-		return false
+		l.NoteWaiting()
 	}
-	return !now.Before(l.pausedUntil)
+	return l.inProgress < l.LimitAt(now)
 }
 
+// LimitAt returns the number of statements that may be in progress at now, which is 0
+// during the pause that follows a rejection. It is for callers that count statements
+// themselves; they call NoteWaiting instead of MayStart.
+func (l *Limiter) LimitAt(now time.Time) int {
+	if now.Before(l.pausedUntil) {
+		return 0
+	}
+	return l.limit
+}
+
+// NoteWaiting records that a statement has to wait because the limit is reached. The
+// limit changes only while it is reached.
+func (l *Limiter) NoteWaiting() { l.round.limited = true }
+
 // RetryAt returns the end of the pause that follows a rejection, or the zero time if
 // there was none.
 func (l *Limiter) RetryAt() time.Time { return l.pausedUntil }
@@ -240,7 +253,7 @@
 	l.advance(now)
 	l.inProgress++
 	if l.inProgress >= l.limit {
-		l.round.limited = true
+		l.NoteWaiting()
 	}
 	return Statement{sentAt: now, epoch: l.epoch, load: l.load}
 }
--- a/core/pace/limiter_test.go
+++ b/core/pace/limiter_test.go
@@ -283,6 +283,19 @@
 			Expect(violations(r.between(28200*time.Millisecond, 30*time.Second), maxQueued)).To(BeEmpty(), name)
 		})
 	})
+	It("does not lower the limit when the member is slower, until the limit is reached", func() {
+		l := learn(ms(4))
+		now := serve(l, 0, ms(4), 1)
+		for range 20 {
+			now = serve(l, now, ms(4), 1)
+		}
+		for range 50 {
+			now = serve(l, now, ms(100), 1)
+		}
+		Expect(l.Limit()).To(Equal(4))
+		serve(l, now, ms(100), 20)
+		Expect(l.Limit()).To(Equal(3))
+	})
 	It("is not throttled, and the limit does not shrink", func() {
 		forSeeds(func(seed uint64, name string) {
 			low := func(c func(int) controller) *replay {
@@ -356,6 +369,19 @@
 			now = serve(l, now, 10*time.Millisecond, want)
 		}
 	})
+	It("doubles for a caller that counts statements itself and says that some wait", func() {
+		l, now := pace.NewLimiter(16, 1), time.Duration(0)
+		for _, want := range []int{1, 2, 4, 8} {
+			Expect(l.LimitAt(at(now))).To(Equal(want))
+			for range want {
+				// The statements are sent one by one, so that the limit is never reached.
+				s := l.Start(at(now))
+				now += ms(10)
+				l.NoteWaiting()
+				l.Finish(at(now), s, pace.Served)
+			}
+		}
+	})
 	It("does not double because of answers to a demand below the limit", func() {
 		l := pace.NewLimiter(16, 1)
 		now := serve(l, 0, 10*time.Millisecond, 3)
