--- a/core/pace/learned.go
+++ b/core/pace/learned.go
@@ -23,14 +23,14 @@
 	// slowStreak is the number of consecutive answers that took slowRatio times the mean
 	// after which the mean of these replaces the averages, if they came over at least
 	// slowStreakTime. With the moving average alone, a member whose statements take
-	// 150 ms instead of 30 ms showed less than half of that after 1.2 s. At constant
-	// speed a sixth of the answers take that long; the time excludes bursts of answers
-	// that waited for the same slow statements.
+	// 150 ms instead of 30 ms showed less than half of that after 1.2 s. With a ratio
+	// of 1.5, constant speed was taken for a slowdown more often. The time excludes
+	// bursts of answers that waited for the same slow statements.
 	slowStreak     = 5
-	slowRatio      = 1.5
+	slowRatio      = 1.8
 	slowStreakTime = 50 * time.Millisecond
 	// maxStreakRatio bounds the answer times of a streak, as a multiple of the mean.
-	maxStreakRatio = 10
+	maxStreakRatio = 6
 	// maxAnswerRatio bounds the answer times that are averaged, as a multiple of the
 	// mean, so that a single slow statement does not change the limit.
 	maxAnswerRatio = 4
