Order requests by priority and pace the statements at members

Cause: the queue was first come first served within a workspace, the expected wait knew neither the order nor the member's speed, and the limit of statements in progress was fixed. Change: with servingScope member, the pool uses the priority queue, the expected wait and the retry times of core/admission and the limiter of core/pace.

--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -63,6 +63,16 @@
 	Term uint64
 }
 
+// TakesSlot reports whether a member needs an execution slot for statements of the kind.
+func (k Kind) TakesSlot() bool {
+	switch k {
+	case Read, Write, Execute, Commit, Status:
+		return true
+	default:
+		return false
+	}
+}
+
 // State is the transaction state of a session.
 type State uint8
 
--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -37,7 +37,16 @@
 			continue
 		}
 		g, ok := p.reserve(req, candidates)
-		if !ok {
+		if !ok && p.scope == placement.ServingByMember {
+			if err := p.refuseUnlessInTime(req, req.remainingWait(started, now), now); err != nil {
+				p.mu.Unlock()
+				return nil, err
+			}
+			if g = p.waitInQueue(ctx, req); g.err != nil {
+				p.mu.Unlock()
+				return nil, g.err
+			}
+		} else if !ok {
 			if wait := p.expectedWait(req, candidates); wait > req.remainingWait(started, now) {
 				p.mu.Unlock()
 				return nil, p.queueFullError("too many requests wait").WithRetryAfter(wait)
@@ -121,16 +130,21 @@
 	return time.Duration(float64(p.meanHoldTime) * float64(ahead+1) / float64(max(slots, 1)))
 }
 
-// expectedMemberWait estimates how long a further request would wait for the member.
-func (p *pool) expectedMemberWait(member string) time.Duration {
+// expectedMemberWait estimates how long a further request of the workspace and priority would
+// wait for the member.
+func (p *pool) expectedMemberWait(member, workspace string, priority int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.members[member]
-	if m == nil || p.queue.Len() == 0 {
+	if m == nil {
 		return 0
 	}
-	ahead := p.queue.CountWaiting(func(item admission.Item) bool { return p.waiters[item.ID].request.member == member })
-	return time.Duration(float64(p.meanHoldTime) * float64(ahead) / float64(p.statementLimit(m)))
+	item := admission.Item{Workspace: workspace, Priority: priority, Member: member}
+	load := p.memberLoad(m, item, time.Now())
+	if load.HasFreeSlot() {
+		return 0
+	}
+	return admission.ExpectedWait(load)
 }
 
 // servingScope says whether each member has a serving set of its own.
@@ -209,6 +223,9 @@
 	slots, instances := max(m.Slots, 1), max(p.servingInstances, 1)
 	if p.scope == placement.ServingByMember {
 		instances = max(p.memberSetSize, 1)
+		if m.pace != nil {
+			return m.pace.LimitAt(time.Now())
+		}
 	}
 	return max((slots*statementsPerSlot+instances-1)/instances, 1)
 }
@@ -244,13 +261,14 @@
 		m.idle[req.workspace] = list[:len(list)-1]
 		m.idleCount--
 		m.running[conn] = struct{}{}
+		conn.priority = req.priority
 		return grant{conn: conn}, true
 	case placement.Replace:
 		p.closeIdle(m, m.oldestIdle(req.workspace))
 	}
 	m.open++
 	m.opening++
-	return grant{member: m}, true
+	return grant{member: m, priority: req.priority}, true
 }
 
 // oldestIdle returns the least recently used idle connection of any other
@@ -271,11 +289,11 @@
 func (p *pool) waitInQueue(ctx context.Context, req *connRequest) grant {
 	p.nextWaiterID++
 	id := p.nextWaiterID
-	w := &waiter{request: req, grant: make(chan grant, 1), queuedAt: time.Now()}
+	w := &waiter{request: req, grant: make(chan grant, 1), queuedAt: time.Now(), item: req.queueItem(id), load: req.load}
 	p.waiters[id] = w
-	refused, full := p.queue.Push(admission.Item{ID: id, Workspace: req.workspace, Deadline: req.deadline})
+	refused, full := p.queue.Push(w.item)
 	if full {
-		p.deliverGrant(refused.ID, grant{err: p.queueFullError("the queue is full")})
+		p.deliverGrant(refused.ID, grant{err: p.evictionError(refused.ID)})
 	}
 	changed := p.membersChanged
 	p.mu.Unlock()
@@ -298,7 +316,10 @@
 	}
 	p.mu.Lock()
 	if p.queue.Remove(req.workspace, id) {
-		delete(p.waiters, id)
+		p.endWait(w)
+		if g.err != nil && p.scope == placement.ServingByMember && ctx.Err() == nil {
+			g.err = p.refuse("no connection in time", req, w.load, time.Now())
+		}
 		return g
 	}
 	return <-w.grant
@@ -306,11 +327,47 @@
 
 func (p *pool) deliverGrant(id uint64, g grant) {
 	if w := p.waiters[id]; w != nil {
-		delete(p.waiters, id)
+		p.endWait(w)
 		w.grant <- g
 	}
 }
 
+// evictionError returns the refusal of a request that has to leave a full queue. The caller
+// holds p.mu.
+func (p *pool) evictionError(id uint64) error {
+	if w := p.waiters[id]; w != nil && p.scope == placement.ServingByMember {
+		return p.refuse("the queue is full", w.request, w.load, time.Now())
+	}
+	return p.queueFullError("the queue is full")
+}
+
+// endWait removes a request that no longer waits, and records how long it has waited. The
+// caller holds p.mu.
+func (p *pool) endWait(w *waiter) {
+	delete(p.waiters, w.item.ID)
+	if p.scope == placement.ServingByMember {
+		p.queue.RecordWait(w.item, w.load, time.Since(w.queuedAt))
+	}
+}
+
+// refuseUnlessInTime returns the refusal of a request that is not expected to get a
+// connection within the remaining time, and nil for one that may wait. The caller holds p.mu.
+func (p *pool) refuseUnlessInTime(req *connRequest, remaining time.Duration, now time.Time) error {
+	m := p.members[req.member]
+	if m == nil {
+		return nil
+	}
+	if m.pace != nil {
+		m.pace.NoteWaiting()
+		remaining -= m.pace.ServiceTime().Mean
+	}
+	req.load = p.memberLoad(m, req.queueItem(0), now)
+	if !admission.ShouldRefuse(req.load, remaining) {
+		return nil
+	}
+	return p.refuse("too many requests wait", req, req.load, now)
+}
+
 // reuseWindow is how long a queued request that needs a new connection can be
 // overtaken by requests that can reuse an idle connection of their workspace.
 // Opening a connection occupies a slot for about as long as a statement.
@@ -319,6 +376,7 @@
 // dispatch grants connections to queued requests. The caller holds p.mu.
 func (p *pool) dispatch() {
 	now := time.Now()
+	p.queue.Advance(now)
 	action := func(queued admission.Item) placement.Action {
 		return placement.Choose(p.candidates(p.waiters[queued.ID].request, now), p.zone).Action
 	}
@@ -329,14 +387,16 @@
 		}
 		item, charged, ok := admission.Item{}, time.Duration(0), false
 		if now.Sub(p.waiters[first.ID].queuedAt) < reuseWindow && action(first) != placement.UseIdle {
-			item, charged, ok = p.queue.Next(func(queued admission.Item) bool { return action(queued) == placement.UseIdle })
+			item, charged, ok = p.queue.Next(func(queued admission.Item) bool {
+				return queued.Priority <= first.Priority && action(queued) == placement.UseIdle
+			})
 		}
 		if !ok {
 			item, charged, _ = p.queue.Next(func(queued admission.Item) bool { return queued.ID == first.ID })
 		}
 		req := p.waiters[item.ID].request
 		g, _ := p.reserve(req, p.candidates(req, now))
-		g.charged = charged
+		g.charged, g.priority = charged, req.priority
 		if g.conn != nil {
 			g.conn.charged = charged
 		}
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
@@ -64,12 +65,15 @@
 	m.opening--
 	if err != nil {
 		m.open--
+		if p.scope == placement.ServingByMember {
+			p.queue.DoneWithPriority(req.workspace, g.priority, g.charged, 0)
+		}
 		p.noteOpenFailure(m, err, time.Since(started))
 		p.dispatch()
 		return nil, err
 	}
 	m.noteAnswer(time.Now())
-	c := &pooledConn{MemberConn: conn, member: m, workspace: req.workspace, prepared: map[string]bool{}, charged: g.charged}
+	c := &pooledConn{MemberConn: conn, member: m, workspace: req.workspace, prepared: map[string]bool{}, charged: g.charged, priority: g.priority}
 	if p.members[m.ID] != m || m.down {
 		m.open--
 		conn.Close()
@@ -137,6 +141,9 @@
 	m.noteAnswer(now)
 	if m.down {
 		m.down = false
+		if m.pace != nil {
+			m.pace.Recovered(now)
+		}
 		p.notifyMembersChanged()
 		p.dispatch()
 	}
@@ -155,7 +162,7 @@
 	if !c.lastUsedAt.IsZero() && !c.isOwnCall {
 		holdTime := now.Sub(c.lastUsedAt)
 		p.meanHoldTime += time.Duration(holdTimeSmoothing * float64(holdTime-p.meanHoldTime))
-		p.queue.Done(c.workspace, c.charged, holdTime)
+		p.queue.DoneWithPriority(c.workspace, c.priority, c.charged, holdTime)
 	}
 	c.charged, c.isOwnCall = 0, false
 	if !reusable || c.closed || c.state != statement.Idle || m.down || p.members[m.ID] != m || !m.acceptsWork(m.ID == p.primary, now) || m.open > p.connLimit(m) {
@@ -173,21 +180,26 @@
 	p.dispatch()
 }
 
-// statementStarted marks the start of a statement on the connection.
-func (p *pool) statementStarted(c *pooledConn, isCommit bool) {
+// statementStarted marks the start of a statement on the connection. takesSlot says that it
+// occupies an execution slot of the member.
+func (p *pool) statementStarted(c *pooledConn, takesSlot, isCommit bool) {
 	p.mu.Lock()
 	c.busySince, c.isCommit, c.idleInTransaction = time.Now(), isCommit, false
+	if takesSlot && c.member.pace != nil {
+		c.paced = c.member.pace.Start(c.busySince)
+	}
 	if c.lastUsedAt.IsZero() || c.busySince.Sub(c.lastUsedAt) > 0 {
 		c.lastUsedAt = c.busySince
 	}
 	p.mu.Unlock()
 }
 
-// statementEnded marks the end of a statement.
-func (p *pool) statementEnded(c *pooledConn, err error) {
+// statementEnded marks the end of a statement. refused is the member's error, or nil.
+func (p *pool) statementEnded(c *pooledConn, takesSlot bool, refused *statement.Error, err error) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.notePace(c, now, takesSlot, refused, err)
 	c.busySince = time.Time{}
 	if err == nil {
 		c.member.noteAnswer(now)
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -62,8 +62,20 @@
 	waited time.Duration
 }
 
+// newConnRequest returns a request for a connection for a statement of the route that has
+// waited elsewhere before. The priority counts only among the statements for one member.
+func newConnRequest(route *catalog.Route, workspace, member string, deadline time.Time, waited time.Duration) *connRequest {
+	req := &connRequest{
+		workspace: workspace, member: member, deadline: deadline, maxWait: max(maxQueueWait(route)-waited, busyRetryDelay),
+	}
+	if member != "" {
+		req.priority, req.target = route.Priority, time.Now().Add(route.TargetLatency-waited)
+	}
+	return req
+}
+
 func (op *operation) connRequest() *connRequest {
-	return &connRequest{workspace: op.workspace.Name, member: op.member, deadline: op.deadline, maxWait: max(maxQueueWait(op.route)-op.waited, busyRetryDelay)}
+	return newConnRequest(op.route, op.workspace.Name, op.member, op.deadline, op.waited)
 }
 
 // executeSingle runs a statement outside a transaction.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -234,17 +234,18 @@
 	return g.pools[name]
 }
 
-// poolOfRoute returns the pool of the group of a database's route, or nil.
-func (g *Gateway) poolOfRoute(database string) *pool {
+// routeOf returns the route of a database and the pool of its group; both are nil if there
+// is none.
+func (g *Gateway) routeOf(database string) (*catalog.Route, *pool) {
 	c := g.currentConfig.Load()
 	if c == nil {
-		return nil
+		return nil, nil
 	}
 	route := c.catalog.Route(database)
 	if route == nil {
-		return nil
+		return nil, nil
 	}
-	return g.pool(route.Group)
+	return route, g.pool(route.Group)
 }
 
 // forEachPool calls f for every pool, without holding the lock.
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -7,6 +7,7 @@
 	"github.com/mulberrysill/mulberrysill/core/admission"
 	"github.com/mulberrysill/mulberrysill/core/consistency"
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/pace"
 	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
@@ -78,7 +79,9 @@
 	acknowledged    group.Position
 	queue           *admission.Queue
 	waiters         map[uint64]*waiter
-	nextWaiterID    uint64
+	// retryTimes spreads the retry times of refused requests.
+	retryTimes   admission.RetryTimes
+	nextWaiterID uint64
 	// maxConnections limits the connections to one member from all instances.
 	// servingInstances is the size of the group's serving set, and
 	// inServingSet is set if this instance belongs to it.
@@ -110,7 +113,10 @@
 type poolMember struct {
 	Member
 	// served is set if this instance belongs to the member's serving set.
-	served        bool
+	served bool
+	// pace limits the statements in progress at the member if members have serving sets of
+	// their own; nil otherwise.
+	pace          *pace.Limiter
 	idle          map[string][]*pooledConn
 	idleCount     int
 	open, opening int
@@ -150,6 +156,10 @@
 	isCommit bool
 	charged  time.Duration
 	closed   bool
+	// priority is that of the request for which the connection was granted.
+	priority int
+	// paced is the statement in progress for the member's pace.
+	paced pace.Statement
 	// state is the session state last reported by the member.
 	state statement.State
 	// idleInTransaction is set while an open transaction waits for its client.
@@ -170,6 +180,12 @@
 	member   string
 	excluded map[string]bool
 	deadline time.Time
+	// priority is the route's, and target the time until which an answer meets the route's
+	// objective.
+	priority int
+	target   time.Time
+	// load is the load when the request was last queued.
+	load admission.Load
 	// maxWait is the longest useful wait in the queue; a request expected to
 	// wait longer is refused immediately. 0 means until the deadline.
 	maxWait time.Duration
@@ -179,6 +195,9 @@
 	request  *connRequest
 	grant    chan grant
 	queuedAt time.Time
+	// item stands for the request in the queue, and load is the load when it was queued.
+	item admission.Item
+	load admission.Load
 }
 
 // grant is a connection, or permission to open one to the member.
@@ -186,16 +205,22 @@
 	conn    *pooledConn
 	member  *poolMember
 	charged time.Duration
-	err     error
+	// priority is that of the request.
+	priority int
+	err      error
 }
 
 func newPool(name, zone string, dialer Dialer, instances *peers, onEvent func(poolEvent)) *pool {
-	return &pool{
+	p := &pool{
 		name: name, zone: zone, dialer: dialer, instances: instances, onEvent: onEvent,
 		members: map[string]*poolMember{}, membersChanged: make(chan struct{}),
 		queue: admission.NewQueue(0), waiters: map[uint64]*waiter{}, targets: map[string]targetReport{}, servingInstances: 1, inServingSet: true,
 		meanHoldTime: 20 * time.Millisecond,
 	}
+	if instances != nil && instances.gw.cfg.ServingScope == placement.ServingByMember {
+		p.scope, p.queue = placement.ServingByMember, admission.NewPriorityQueue(0, admission.PrioritySettings{})
+	}
+	return p
 }
 
 // notifyMembersChanged wakes requests that wait for a usable member. The
@@ -267,6 +292,9 @@
 	}
 	former := p.members[p.primary]
 	p.primary, p.term, p.primaryChanging = id, term, false
+	if m := p.members[id]; m.pace != nil && (former == nil || former.ID != id) {
+		m.pace.Promoted(time.Now())
+	}
 	if former != nil && former.ID != id {
 		// Statements pending on a replaced primary can no longer succeed.
 		for c := range former.running {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -387,8 +387,8 @@
 		Term: reply.Position.Term, Index: reply.Position.Index, Member: rec.member,
 		Attempts: uint32(rec.attempts),
 	}
-	if p := s.gw.poolOfRoute(rec.database); p != nil && s.member != "" {
-		out.ExpectedWaitUs = p.expectedMemberWait(s.member).Microseconds()
+	if route, p := s.gw.routeOf(rec.database); p != nil && s.member != "" {
+		out.ExpectedWaitUs = p.expectedMemberWait(s.member, rec.workspace, route.Priority).Microseconds()
 	}
 	if err != nil {
 		e := verdict.FromError(err)
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -114,7 +114,7 @@
 // retrying on other members.
 func (s *session) beginAtMember(ctx context.Context, st statement.Statement, deadline time.Time, rec *requestRecord) error {
 	tx := s.tx
-	req := &connRequest{workspace: tx.workspace.Name, member: tx.member, deadline: deadline, maxWait: maxQueueWait(tx.route)}
+	req := newConnRequest(tx.route, tx.workspace.Name, tx.member, deadline, s.waited)
 	var last error
 	useFloor := tx.route.Consistency != catalog.Strict
 	for range readAttempts {
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -45,6 +45,7 @@
 		served := serving.scope == placement.ServingByMember && slices.Contains(serving.members[next.ID], serving.self)
 		changed = changed || m.served != served
 		m.served = served
+		p.setPace(m)
 		changed = m.updateEntry(next, unlistedSince[next.ID], isOutOfService(next.Zone), now) || changed
 	}
 	for id, m := range p.members {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -51,6 +51,9 @@
 		}
 		p.closeUnused(m, now)
 	}
+	if p.scope == placement.ServingByMember {
+		p.dispatch() // a pause after a rejection may be over
+	}
 	if p.fetchesPositions() {
 		if now.Sub(p.lastRead) < sampleDemandWindow && p.sampleAge() > maxSampleAge {
 			p.beginPositionFetch()
@@ -216,7 +219,8 @@
 func (p *pool) exchange(c *pooledConn, deadline time.Time, statements ...statement.Statement) ([]statement.Reply, error) {
 	last := &statements[len(statements)-1]
 	c.isRead = last.Kind == statement.Read || !last.AfterPosition.IsZero()
-	p.statementStarted(c, last.Kind == statement.Commit || last.Kind == statement.Write)
+	takesSlot := last.Kind.TakesSlot()
+	p.statementStarted(c, takesSlot, last.Kind == statement.Commit || last.Kind == statement.Write)
 	err := c.Send(deadline, statements...)
 	replies := make([]statement.Reply, 0, len(statements))
 	for err == nil && len(replies) < len(statements) {
@@ -226,7 +230,11 @@
 			c.state = r.State
 		}
 	}
-	p.statementEnded(c, err)
+	var refused *statement.Error
+	if err == nil {
+		refused = replies[len(replies)-1].Err
+	}
+	p.statementEnded(c, takesSlot, refused, err)
 	return replies, err
 }
 
