End the pause after a rejection when the limit is raised

With 3,000 checks the property test found a pause at limit 2: an answer to another statement raised the limit within the 10 ms after a rejection at limit 1. The instance had room for a statement and did not send it.

--- a/core/pace/limiter.go
+++ b/core/pace/limiter.go
@@ -205,6 +205,9 @@
 
 func (l *Limiter) setLimit(limit int) {
 	l.limit = min(max(limit, 1), l.UpperBound())
+	if l.limit > 1 {
+		l.pausedUntil = time.Time{} // the member has accepted statements since
+	}
 	l.round, l.wasLimited, l.lowerAnswers = answerRound{}, l.round.limited, 0
 }
 
