Ask a store that refuses rarely while peers confirm the configuration

Change: with servingScope member, an instance of a large fleet whose peers confirm the configuration retries every 3 s.

--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -12,6 +12,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/membership"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
@@ -62,6 +63,10 @@
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay after a failed
 	// call to the store.
 	minStoreRetryDelay, maxStoreRetryDelay = 100 * time.Millisecond, 700 * time.Millisecond
+	// maxSparedRetryDelay is the same for an instance that can do without the store for the
+	// moment, because its peers confirm the configuration. A store that refuses some of a
+	// large fleet's instances would otherwise get several calls a second from each of them.
+	maxSparedRetryDelay = 3 * time.Second
 )
 
 // watcher follows one table of the store by long polls.
@@ -95,6 +100,9 @@
 	knownRevision func() revision.Revision
 	// relist asks for the table to be listed again; it may be nil.
 	relist *atomic.Bool
+	// maxRetryDelay returns the bound of the delay after a failed call; nil means
+	// maxStoreRetryDelay.
+	maxRetryDelay func() time.Duration
 	// onRecovered is called when the store responds again; it may be nil.
 	onRecovered func()
 	// currentEra returns the newest known era of the store, and observeEra records one.
@@ -167,8 +175,17 @@
 			relistDelay = min(max(minStoreRetryDelay, 2*relistDelay), maxStoreRetryDelay)
 		default:
 			w.noteFailure(ctx, err)
-			sleep(ctx, retry)
-			retry = min(2*retry, maxStoreRetryDelay)
+			longest := maxStoreRetryDelay
+			if w.maxRetryDelay != nil {
+				longest = w.maxRetryDelay()
+			}
+			retry = min(retry, longest)
+			if retry > maxStoreRetryDelay {
+				w.awaitInterrupt(ctx, retry)
+			} else {
+				sleep(ctx, retry)
+			}
+			retry = min(2*retry, longest)
 		}
 	}
 }
@@ -295,7 +312,7 @@
 		g.observeEra(era)
 		g.learnSettledEra(ctx)
 	}
-	w.spreadPollWait = g.spreadPollTimeout
+	w.spreadPollWait, w.maxRetryDelay = g.spreadPollTimeout, g.maxStoreRetryDelay
 	// A longer poll for members sent during the outage may still hang.
 	w.onRecovered = func() { interruptPoll(g.interruptMembersPoll) }
 	w.apply = func(batch Batch[OperatorEntry], complete bool, asked time.Duration) {
@@ -444,6 +461,18 @@
 	}
 }
 
+// maxStoreRetryDelay bounds the delay after a failed call to the store. An instance of a large
+// fleet that is served by member asks rarely while its peers confirm the configuration; an old
+// confirmation ends the delay.
+func (g *Gateway) maxStoreRetryDelay() time.Duration {
+	age, known := g.configLeaseAge()
+	few, _ := g.peers.storeReaders()
+	if g.cfg.ServingScope == placement.ServingByMember && few && known && !needsConfirmation(age) {
+		return maxSparedRetryDelay
+	}
+	return maxStoreRetryDelay
+}
+
 // spreadPollTimeout returns the wait of a poll that all instances begin at about the same
 // time, as after a change. The instances divide the usual wait between them, so that some of
 // them always have a recent confirmation for the others.
@@ -463,7 +492,7 @@
 // watchMembers follows the platform's list of members.
 func (g *Gateway) watchMembers(ctx context.Context) {
 	w := watcher[Member]{name: "members", table: g.cfg.Store.Members(), log: g.log, interrupt: g.interruptMembersPoll, relist: &g.relistMembers}
-	w.suspended = g.peers.followsCollector
+	w.suspended, w.maxRetryDelay = g.peers.followsCollector, g.maxStoreRetryDelay
 	w.currentEra, w.observeEra, w.listDelay = g.eras.current, g.observeEra, g.listDelay
 	w.knownRevision = func() revision.Revision {
 		if list := g.memberList.Load(); list != nil {
