Add the settings of usage reports

The platform of some deployments expects usage reports. The settings name its duties and what it requires of the reports; the name of the duty stands in platform/ only. Without the duty the settings change nothing.

go test ./pkg/config passes; go vet of the packages touched is clean.

--- a/cmd/mulberrygate/main.go
+++ b/cmd/mulberrygate/main.go
@@ -88,6 +88,11 @@
 		Dialer: platform.MemberDialer{}, Store: platform.NewStore(settings.StoreAddress),
 		Promoter: platform.NewPromoter(settings.DutyAddress), Log: log, Metrics: metrics.New(settings.ID, settings.Zone),
 	}
+	if platform.ExpectsUsageReports(settings.Duties) {
+		cfg.UsageReports = gateway.UsageReports{
+			Window: time.Duration(settings.UsageReports.Window), Lateness: time.Duration(settings.UsageReports.Lateness), Tolerance: settings.UsageReports.Tolerance,
+		}
+	}
 	if cfg.ClientListener, err = platform.ListenClients(settings.ClientAddress); err != nil {
 		return err
 	}
--- a/pkg/config/gate.go
+++ b/pkg/config/gate.go
@@ -19,6 +19,12 @@
 	// maxLimitWindow and maxLimitSlack, in operations, bound limitTolerance.
 	maxLimitWindow = time.Hour
 	maxLimitSlack  = 1_000_000
+	// minUsageWindow and maxUsageWindow bound usageReports.window. Counts are sent once a
+	// second, so that shorter windows would end before their counts have been sent.
+	minUsageWindow, maxUsageWindow = time.Second, time.Hour
+	// minUsageLateness allows for asking the gatherers until 3.5 s after the end of a window,
+	// and for two responses of the store and the platform. maxUsageLateness is a day.
+	minUsageLateness, maxUsageLateness = 5 * time.Second, 24 * time.Hour
 	// maxCapacity is in cores.
 	maxCapacity = 1024
 )
@@ -55,10 +61,24 @@
 	// LimitTolerance is what the platform tolerates beyond the workspaces' limits; by
 	// default nothing.
 	LimitTolerance LimitTolerance `yaml:"limitTolerance"`
+	// Duties are the platform's names of the calls that it expects of the fleet.
+	Duties []string `yaml:"duties"`
+	// UsageReports says what the platform requires of usage reports; by default none are
+	// sent.
+	UsageReports UsageReports `yaml:"usageReports"`
 	// LogLevel is a logrus level.
 	LogLevel string `yaml:"logLevel"`
 }
 
+// UsageReports says what the platform requires of usage reports: one for each Window, at
+// most Lateness after its end, with counts that deviate from the true ones by at most the
+// fraction Tolerance. A Window of 0 means that there are no reports.
+type UsageReports struct {
+	Window    Duration `yaml:"window"`
+	Lateness  Duration `yaml:"lateness"`
+	Tolerance float64  `yaml:"tolerance"`
+}
+
 // LimitTolerance is what the platform tolerates beyond a workspace's limit in any period
 // of Window: the fraction Overage of what the limit allows in it, and Slack operations.
 type LimitTolerance struct {
@@ -112,6 +132,12 @@
 	check(t.Window >= 0 && time.Duration(t.Window) <= maxLimitWindow, "limitTolerance.window", "must be between 0 and %s", maxLimitWindow)
 	check(t.Overage >= 0 && t.Overage <= 1, "limitTolerance.overage", "must be between 0 and 1")
 	check(t.Slack >= 0 && t.Slack <= maxLimitSlack, "limitTolerance.slack", "must be between 0 and %d operations", maxLimitSlack)
+	if u := s.UsageReports; u.Window != 0 {
+		window, lateness := time.Duration(u.Window), time.Duration(u.Lateness)
+		check(window >= minUsageWindow && window <= maxUsageWindow && window%time.Millisecond == 0, "usageReports.window", "must be 0, or whole milliseconds between %s and %s", minUsageWindow, maxUsageWindow)
+		check(lateness >= minUsageLateness && lateness <= maxUsageLateness, "usageReports.lateness", "must be between %s and %s", minUsageLateness, maxUsageLateness)
+		check(u.Tolerance >= 0 && u.Tolerance <= 1, "usageReports.tolerance", "must be between 0 and 1")
+	}
 	check(time.Duration(s.RevocationBound) >= minRevocationBound, "revocationBound", "must be at least %s", minRevocationBound)
 	check(time.Duration(s.GracePeriod) >= minGracePeriod, "gracePeriod", "must be at least %s", minGracePeriod)
 	return list
--- a/pkg/config/gate_test.go
+++ b/pkg/config/gate_test.go
@@ -28,6 +28,27 @@
 	g.Expect(s.MetricsAddress).To(BeEmpty())
 }
 
+// Deployments that name no duties must be understood as before, also if the template
+// renders the list as null.
+func TestGateUsageReports(t *testing.T) {
+	g := NewWithT(t)
+	for _, duties := range []string{"", "duties:\n", "duties: null\n", "duties: []\n"} {
+		s, err := config.ParseGate("gate.yaml", []byte(gateSettings+duties))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Duties).To(BeEmpty())
+		g.Expect(s.UsageReports).To(Equal(config.UsageReports{}))
+	}
+	s, err := config.ParseGate("gate.yaml", []byte(gateSettings+"duties: [\"usage_report\",\"promotion\"]\nusageReports: { window: 5s, lateness: 10s, tolerance: 0.05 }\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Duties).To(Equal([]string{"usage_report", "promotion"}))
+	g.Expect(s.UsageReports).To(Equal(config.UsageReports{Window: config.Duration(5 * time.Second), Lateness: config.Duration(10 * time.Second), Tolerance: 0.05}))
+	_, err = config.ParseGate("gate.yaml", []byte(gateSettings+"usageReports: { window: 10ms, lateness: 1s, tolerance: 2 }\n"))
+	g.Expect(err).To(MatchError(And(
+		ContainSubstring("usageReports.window: must be 0, or whole milliseconds between 1s and 1h0m0s"),
+		ContainSubstring("usageReports.lateness: must be between 5s and 24h0m0s"), ContainSubstring("usageReports.tolerance: must be between 0 and 1"),
+	)))
+}
+
 // All invalid fields are reported at once with their lines.
 func TestGateSettingsFaults(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -32,6 +33,8 @@
 	GracePeriod time.Duration
 	// LimitTolerance is what the platform tolerates beyond the workspaces' limits.
 	LimitTolerance quota.Tolerance
+	// UsageReports says what the platform requires of usage reports.
+	UsageReports UsageReports
 	// FirstStart indicates the first start of the whole system; limits then
 	// start with a full burst.
 	FirstStart bool
@@ -47,6 +50,24 @@
 	Metrics           *metrics.Metrics
 }
 
+// UsageReports says what the platform requires of usage reports: one for each Window, at
+// most Lateness after its end, with counts that deviate from the true ones by at most the
+// fraction Tolerance. If Window is 0, no requests are counted and no reports are sent.
+type UsageReports struct {
+	Window, Lateness time.Duration
+	Tolerance        float64
+}
+
+func (u UsageReports) enabled() bool { return u.Window > 0 }
+
+// String describes the requirements for the log.
+func (u UsageReports) String() string {
+	if !u.enabled() {
+		return "off"
+	}
+	return fmt.Sprintf("window %s, lateness %s, tolerance %g", u.Window, u.Lateness, u.Tolerance)
+}
+
 // configLeaseMargin is subtracted from the revocation bound to allow for the
 // time between the last authorization and sending the statement to the member.
 const configLeaseMargin = 250 * time.Millisecond
@@ -133,7 +154,7 @@
 	g.spawn(func() { g.watchInstances(workCtx) })
 	g.spawn(func() { g.peers.run(workCtx) })
 	go g.acceptClients(workCtx, failed)
-	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started}).Info("instance started")
+	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started, "usageReports": g.cfg.UsageReports.String()}).Info("instance started")
 	var err error
 	select {
 	case err = <-failed:
