Count requests and send usage reports from the holder of the lease

The instance that a client is connected to counts what members began to run: single statements, the first statement of a transaction, each attempt. The response to a relayed statement says how many attempts began to run, and how long ago. Counts go to the first two instances of the zone's ranking, once a second and after the end of a window, and once more at shutdown. A message says up to which window it is complete; windows with statements that have not been answered are held back.

The holder of the promotion lease asks the gatherers, fixes and sends the reports as core/usage decides. It sends only within 200 ms after the lease was confirmed, and only once it has held the lease for 1 s, because a former holder may send for 200 ms after its last confirmation.

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -297,7 +297,9 @@
 	if st.Kind == statement.Execute {
 		st.Name = memberStatementName(s.prepared[st.Name])
 	}
+	attempt := s.beginAttempt(st)
 	replies, err := p.exchange(conn, deadline, st)
+	s.endAttempt(attempt, conn.workspace, replies, err)
 	if err != nil {
 		return statement.Reply{}, true, err
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,8 +46,11 @@
 	Dialer            Dialer
 	Store             Store
 	Promoter          Promoter
-	Log               *logrus.Entry
-	Metrics           *metrics.Metrics
+	// UsageStore and UsageReporter are used only if UsageReports requires reports.
+	UsageStore    UsageStore
+	UsageReporter UsageReporter
+	Log           *logrus.Entry
+	Metrics       *metrics.Metrics
 }
 
 // UsageReports says what the platform requires of usage reports: one for each Window, at
@@ -82,6 +85,10 @@
 	peers           *peers
 	controller      *controller
 	relayedSessions relayedSessions
+	// These are nil if the platform expects no usage reports.
+	usageCounter  *usageCounter
+	usageGatherer *usageGatherer
+	usageSender   *usageSender
 
 	eras storeEras
 
@@ -136,6 +143,9 @@
 	g.relayedSessions.sessions = map[string]*relayedSession{}
 	g.requests = newRequestLog(cfg.Log, cfg.Metrics)
 	g.limits = newLimits(cfg.FirstStart, cfg.LimitTolerance)
+	if cfg.UsageReports.enabled() {
+		g.usageCounter, g.usageGatherer, g.usageSender = newUsageCounter(cfg.UsageReports.Window), newUsageGatherer(), newUsageSender(g)
+	}
 	g.peers = newPeers(g)
 	g.controller = newController(g)
 	return g
@@ -153,6 +163,10 @@
 	g.spawn(func() { g.watchMembers(workCtx) })
 	g.spawn(func() { g.watchInstances(workCtx) })
 	g.spawn(func() { g.peers.run(workCtx) })
+	if g.usageSender != nil {
+		g.spawn(func() { g.usageSender.run(workCtx) })
+		g.spawn(func() { newUsageHolder(g).run(workCtx) })
+	}
 	go g.acceptClients(workCtx, failed)
 	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started, "usageReports": g.cfg.UsageReports.String()}).Info("instance started")
 	var err error
@@ -160,6 +174,9 @@
 	case err = <-failed:
 	case <-ctx.Done():
 		g.drain(workCtx)
+		if g.usageSender != nil {
+			g.usageSender.flush()
+		}
 	}
 	stop()
 	g.requests.close()
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -126,7 +126,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+relayTimeoutMargin)
 	defer cancel()
+	attempt := s.beginAttempt(st)
 	answer, err := to.client.Run(ctx, request)
+	s.endRelayedAttempt(attempt, rec.workspace, answer, err)
 	if err != nil {
 		s.gw.peers.markSuspect(to)
 		return statement.Reply{}, err
@@ -362,6 +364,7 @@
 		rec.err = e
 		out.Code, out.Verdict, out.Message, out.RetryAfterMs = string(e.Code), uint32(e.Verdict), e.Message, e.RetryAfter.Milliseconds()
 	}
+	s.reportAttempts(out)
 	s.gw.requests.record(*rec)
 	return out
 }
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -49,6 +49,11 @@
 	// another instance. That instance has charged the workspace's limit unless
 	// chargeRelayed is set.
 	isRelayed, chargeRelayed bool
+	// startedAttempts is the number of attempts that members began to run for the current
+	// relayed statement, and lastStartedAt when the last one was sent, on the clock of
+	// bootTime. Both are for the usage reports.
+	startedAttempts uint32
+	lastStartedAt   time.Duration
 }
 
 // transaction is the client's open transaction.
@@ -66,6 +71,9 @@
 	relayID uint64
 	// uncharged is set until the workspace's limit has been charged.
 	uncharged bool
+	// isCounted is set once a statement of the transaction has begun to run, and has been
+	// counted for the usage reports.
+	isCounted bool
 }
 
 // run serves the client until the session ends.
