--- a/cmd/mulberrygate/main.go
+++ b/cmd/mulberrygate/main.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		return err
 	}
+	store, duties := platform.NewStore(settings.StoreAddress), platform.NewPromoter(settings.DutyAddress)
 	cfg := gateway.Config{
 		ID: settings.ID, Zone: settings.Zone, Capacity: settings.Capacity, PeerAddress: cmp.Or(settings.PeerAdvertisedAddress, settings.PeerAddress),
 		RevocationBound: time.Duration(settings.RevocationBound), GracePeriod: time.Duration(settings.GracePeriod),
@@ -85,8 +86,7 @@
 		LimitTolerance: quota.Tolerance{
 			Window: time.Duration(settings.LimitTolerance.Window), Overage: settings.LimitTolerance.Overage, Slack: settings.LimitTolerance.Slack,
 		},
-		Dialer: platform.MemberDialer{}, Store: platform.NewStore(settings.StoreAddress),
-		Promoter: platform.NewPromoter(settings.DutyAddress), Log: log, Metrics: metrics.New(settings.ID, settings.Zone),
+		Dialer: platform.MemberDialer{}, Store: store, UsageStore: store, Promoter: duties, UsageReporter: duties, Log: log, Metrics: metrics.New(settings.ID, settings.Zone),
 	}
 	if platform.ExpectsUsageReports(settings.Duties) {
 		cfg.UsageReports = gateway.UsageReports{
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -34,6 +34,8 @@
 	promotions *standin.PromotionServer
 	config     standin.Config
 	instances  []*instance
+	// usage is what the platform requires of usage reports; none by default.
+	usage gateway.UsageReports
 }
 
 type instance struct {
@@ -44,7 +46,7 @@
 
 // newDeployment starts members and instances; rate applies to the workspace
 // coop.
-func newDeployment(instances int, rate float64) *deployment {
+func newDeployment(instances int, rate float64, options ...func(*deployment)) *deployment {
 	group, err := standin.NewGroup("g1", 3, maxConnections)
 	Expect(err).NotTo(HaveOccurred())
 	d := &deployment{store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group)}
@@ -63,6 +65,9 @@
 			{Name: "welder", Keys: []string{"k3"}, Rate: 1000, Burst: 1000},
 		},
 	}
+	for _, option := range options {
+		option(d)
+	}
 	d.store.PutConfig(d.config)
 	d.listMembers()
 	for n := range instances {
@@ -93,10 +98,11 @@
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
 	peers := listen()
+	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: 4 * time.Second, FirstStart: true,
 		ClientListener: clients, PeerListener: peers, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
-		Store: platform.NewStore(d.store.Address()), Promoter: platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://")),
+		Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
