--- a/core/usage/counter.go
+++ b/core/usage/counter.go
@@ -76,11 +76,9 @@
 		}
 		changed[window] = counts
 	}
-	current := c.version
-	if len(changed) > 0 {
-		c.version++
-	}
-	return changed, current
+	// Later changes get a higher version than the one returned.
+	c.version++
+	return changed, c.version - 1
 }
 
 // Dropped returns the number of requests in windows that are no longer held. Most of them
