--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,6 +37,8 @@
 	instances  []*instance
 	// usage is what the platform requires of usage reports; none by default.
 	usage gateway.UsageReports
+	// relayedLines counts the log lines of relayed statements, which are a sample.
+	relayedLines atomic.Int64
 }
 
 type instance struct {
@@ -79,6 +82,18 @@
 	return d
 }
 
+// relayHook counts the log lines of relayed statements.
+type relayHook struct{ lines *atomic.Int64 }
+
+func (relayHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h relayHook) Fire(e *logrus.Entry) error {
+	if e.Data["event"] == "statement" && e.Data["relay"] != nil {
+		h.lines.Add(1)
+	}
+	return nil
+}
+
 // listMembers writes the members' entries.
 func (d *deployment) listMembers() {
 	for _, m := range d.group.Members() {
@@ -97,6 +112,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
+	log.AddHook(relayHook{&d.relayedLines})
 	peers := listen()
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
