--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -76,6 +76,10 @@
 	resumed      map[string]time.Time // guarded by mu: end of the last pause
 	revoked      time.Time            // guarded by mu: start of the revocation, zero while the key is valid
 	hotReadTimes []time.Time          // guarded by mu
+	// disruptions and restorations are the times of the faults that matter for the usage
+	// reports; guarded by mu.
+	disruptions  []disruption
+	restorations []time.Time
 }
 
 // Run executes the plan of one seed. It returns an error if the run could not be
@@ -86,7 +90,8 @@
 	if o.Instances == 0 {
 		o.Instances = defaultInstances
 	}
-	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances)
+	duty := drawUsageDuty(o.Seed)
+	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, duty)
 	if r.cluster != nil {
 		defer r.cluster.close()
 	}
@@ -117,14 +122,20 @@
 	if err == nil {
 		r.checkConfiguration()
 	}
+	if err == nil && duty.expected {
+		time.Sleep(calmTime)
+	}
 	r.mu.Lock()
 	r.stop = true
 	r.mu.Unlock()
 	clients.Wait()
 	watch.Wait()
 	r.checkWrites(all)
+	if err == nil {
+		r.checkUsage(duty)
+	}
 	if n := r.cluster.promotions.SharedTokens(); n > 0 {
-		r.reportViolation("%d promotions were ordered with a token of another holder", n)
+		r.reportViolation("%d promotions or usage reports were sent with a token of another holder", n)
 	}
 	r.checkQuota()
 	r.checkLogs()
@@ -169,6 +180,7 @@
 			defer r.faultedResources.Delete(f.resource())
 			time.Sleep(f.Until - time.Since(r.started))
 			r.recordFault(f, "ended", end())
+			r.recordDisruption(f)
 		})
 	}
 	return nil
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -48,6 +48,7 @@
 	store      *standin.Store
 	group      *standin.Group
 	promotions *standin.PromotionServer
+	duty       usageDuty
 	links      []*stack.Link
 	instances  []*instance
 	copies     copies
@@ -88,13 +89,14 @@
 	return c.list[i].Copy
 }
 
-func startCluster(directory string, binaries []string, instances int) (*cluster, error) {
+func startCluster(directory string, binaries []string, instances int, duty usageDuty) (*cluster, error) {
 	group, err := standin.NewGroup("orders", memberCount, maxConnections)
 	if err != nil {
 		return nil, err
 	}
 	group.ApplyDelay = replicaLag
-	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group)}
+	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group), duty: duty}
+	s.promotions.Usage.SetFencing(duty.fencing)
 	s.config = standin.Config{Version: 1, Group: group.Name, MaxConnections: maxConnections, Workspaces: []standin.Workspace{
 		{Name: "coop", Keys: []string{stableKey, revocableKey}, Rate: 10000, Burst: 10000},
 		{Name: "small", Keys: []string{smallKey}, Rate: smallRate, Burst: smallBurst},
@@ -136,12 +138,17 @@
 }
 
 func (s *cluster) startInstance(in *instance, peerAddress, binary string) error {
-	settings, err := yaml.Marshal(map[string]any{
+	values := map[string]any{
 		"id": in.name, "zone": in.zone, "clientAddress": in.address, "readinessAddress": in.readiness,
 		"peerAddress": peerAddress, "peerAdvertisedAddress": in.peers.Addr(), "storeAddress": in.store.Addr(),
 		"dutyAddress": s.promotions.Listener.Addr().String(), "firstStart": true,
 		"revocationBound": revocationBound.String(), "gracePeriod": "4s",
-	})
+	}
+	if s.duty.expected {
+		values["duties"] = []string{"usage_report", "promotion"}
+		values["usageReports"] = map[string]any{"window": usageWindow.String(), "lateness": "10s", "tolerance": usageTolerance}
+	}
+	settings, err := yaml.Marshal(values)
 	if err != nil {
 		return err
 	}
