--- a/pkg/operator/explain.go
+++ b/pkg/operator/explain.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,21 +33,24 @@
 func newExplainCommand() *cobra.Command {
 	var slowest int
 	var refused bool
+	var window int64
 	c := &cobra.Command{
 		Use:   "explain [ID] [FILE...]",
 		Short: "Trace one statement through the instances' logs",
 		Long: "Reads the instances' logs, as JSON lines, from the files or standard input and prints in order of time\n" +
 			"all log lines of the statement with the ID, together with the instances' events around that time.\n\n" + exitCodeHelp,
 		Example: "  mulberryctl explain 5c0e7a21d94b36f8 entry1.log entry2.log\n" +
-			"  mulberryctl explain --refused entry*.log\n  mulberryctl explain --slowest 10 < all.log",
+			"  mulberryctl explain --refused entry*.log\n  mulberryctl explain --slowest 10 < all.log\n" +
+			"  mulberryctl explain --window 353445120 entry*.log",
 	}
 	c.Flags().IntVar(&slowest, "slowest", 0, "list this number of slowest statements instead")
 	c.Flags().BoolVar(&refused, "refused", false, "count refused statements by reason instead")
+	c.Flags().Int64Var(&window, "window", 0, "explain the usage report of this window instead")
 	c.RunE = func(c *cobra.Command, args []string) error {
 		id := ""
-		if slowest == 0 && !refused {
+		if slowest == 0 && !refused && window == 0 {
 			if len(args) == 0 {
-				return errors.Wrap(errUsage, "want the ID of a statement, --slowest or --refused")
+				return errors.Wrap(errUsage, "want the ID of a statement, --slowest, --refused or --window")
 			}
 			id, args = args[0], args[1:]
 		}
@@ -57,6 +61,8 @@
 		switch {
 		case refused:
 			printRefusalCounts(c.OutOrStdout(), lines)
+		case window != 0:
+			return explainWindow(c.OutOrStdout(), lines, window)
 		case slowest > 0:
 			printSlowest(c.OutOrStdout(), lines, slowest)
 		default:
@@ -135,6 +141,20 @@
 // are printed in a column of their own.
 var omittedFields = map[string]bool{"time": true, "level": true, "event": true, "instance": true, "zone": true, "msg": true, "id": true}
 
+// formatValue formats numbers without an exponent, so that they can be searched for, and
+// maps with sorted keys.
+func formatValue(value any) string {
+	switch v := value.(type) {
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	case map[string]any:
+		if text, err := json.Marshal(v); err == nil {
+			return string(text)
+		}
+	}
+	return fmt.Sprint(value)
+}
+
 // describeFields returns the remaining non-empty fields as name=value, sorted by
 // name.
 func (l *logLine) describeFields() string {
@@ -147,7 +167,7 @@
 	slices.Sort(names)
 	parts := make([]string, 0, len(names))
 	for _, name := range names {
-		parts = append(parts, fmt.Sprintf("%s=%v", name, l.fields[name]))
+		parts = append(parts, name+"="+formatValue(l.fields[name]))
 	}
 	return strings.Join(parts, " ")
 }
