--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -78,7 +78,7 @@
 // resend lets a new holder send the reports of the past windows.
 func (h *holder) resend() []usage.Window {
 	var sent []usage.Window
-	for {
+	for range 100 {
 		a := h.next()
 		switch a.Kind {
 		case usage.Send:
@@ -93,6 +93,16 @@
 			return sent
 		}
 	}
+	return sent
+}
+
+// caughtUp returns a holder that has sent the fixed reports again, a second after the end of
+// the first window.
+func caughtUp(fixed ...usage.FixedReport) *holder {
+	h := newHolder(-4*time.Second, fixed...)
+	h.resend()
+	h.at = first.End(windowLength) + time.Second
+	return h
 }
 
 var _ = Describe("the holder", func() {
@@ -114,4 +124,128 @@
 		h.Sent(a.ID)
 		h.expectWait(6 * time.Second)
 	})
+
+	It("asks again while live instances are missing, and takes the best answer after 3.5 s", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		for _, n := range []uint64{7, 9, 8} {
+			a := h.expect(usage.Gather, first)
+			h.Gathered(a.ID, h.now(), usage.Gathered{Counts: usage.Counts{"a": n}, Covered: 2, Missing: 1})
+			h.expectWait(h.at - first.End(windowLength) + 700*time.Millisecond)
+			h.at += 700 * time.Millisecond
+		}
+		a := h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), usage.Gathered{Counts: usage.Counts{"a": 1}, Covered: 1, Missing: 2})
+		a = h.expect(usage.Fix, first)
+		Expect(a.Report.Counts).To(Equal(usage.Counts{"a": 9}))
+		Expect(a.Gathered.Missing).To(Equal(1))
+	})
+	It("sends nothing for a window of which nothing is known", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		a := h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), usage.Gathered{Counts: usage.Counts{"a": 0}, Covered: 3})
+		Expect(h.expect(usage.GiveUp, first).Reason).To(Equal(usage.NothingKnown))
+		h.expectWait(6 * time.Second)
+	})
+	It("goes on asking when no gatherer responds, until the report is late", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		for h.at < first.End(windowLength)+lateness {
+			a := h.expect(usage.Gather, first)
+			h.Gathered(a.ID, h.now(), usage.Gathered{Missing: 3})
+			h.at += 700 * time.Millisecond
+		}
+		Expect(h.expect(usage.GiveUp, first).Reason).To(Equal(usage.NothingKnown))
+	})
+	It("gives up a report that the store cannot take", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		a := h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), usage.Gathered{Counts: workspaces(60000)})
+		Expect(h.expect(usage.GiveUp, first).Reason).To(Equal(usage.TooLarge))
+	})
+	It("writes the same report again when the store does not respond, and sends nothing meanwhile", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		a := h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), gatheredCounts(7))
+		fix := h.expect(usage.Fix, first)
+		h.FixFailed(fix.ID, h.now())
+		wait := h.expect(usage.Wait, 0)
+		Expect(wait.At - h.now().Boot).To(Equal(500 * time.Millisecond))
+		h.at += 500 * time.Millisecond
+		again := h.expect(usage.Fix, first)
+		Expect(again.Report).To(Equal(fix.Report))
+		h.Fixed(fix.ID, h.now(), stored(fix.Report))
+		h.expectWait(math.MaxInt64) // the answer to the first call no longer counts
+	})
+	It("gathers and fixes later windows while the platform does not respond, and sends them in order", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		for w := first; w < first+3; w++ {
+			h.at = w.End(windowLength) + time.Second
+			if w > first {
+				a := h.expect(usage.Send, first)
+				h.SendFailed(a.ID, h.now(), 0)
+			}
+			a := h.expect(usage.Gather, w)
+			h.Gathered(a.ID, h.now(), gatheredCounts(uint64(w)))
+			a = h.expect(usage.Fix, w)
+			h.Fixed(a.ID, h.now(), stored(a.Report))
+			if w == first {
+				a = h.expect(usage.Send, first)
+				h.SendFailed(a.ID, h.now(), 0)
+			}
+		}
+		h.at += time.Second
+		Expect(h.resend()).To(Equal([]usage.Window{first, first + 1, first + 2}))
+	})
+	DescribeTable("after a refused call waits",
+		func(retryAfter, want time.Duration) {
+			h := newHolder(0, earlier(first-1, 1)...)
+			h.at = first.End(windowLength) - time.Second
+			a := h.expect(usage.Send, first-1)
+			h.SendFailed(a.ID, h.now(), retryAfter)
+			sent := h.now().Boot
+			for range 100 {
+				a = h.next()
+				if a.Kind == usage.Gather {
+					h.Gathered(a.ID, h.now(), usage.Gathered{Covered: 3})
+				} else if a.Kind == usage.Wait {
+					break
+				}
+			}
+			Expect(a.At - sent).To(Equal(want))
+			h.at += want
+			h.expect(usage.Send, first-1)
+		},
+		Entry("1 s if the platform names no time", time.Duration(0), time.Second),
+		Entry("as long as the platform says", 1700*time.Millisecond, 1700*time.Millisecond),
+		Entry("not longer than the interval between calls requires", time.Millisecond, 200*time.Millisecond),
+	)
+	It("makes at most 5 calls per second", func() {
+		h := newHolder(-time.Second, earlier(first-1, 25)...)
+		began := h.at
+		Expect(h.resend()).To(HaveLen(6))
+		Expect(h.at - began).To(Equal(5 * 200 * time.Millisecond))
+	})
+	It("deletes the rows of windows more than 24 before the fixed one, but not the newest 24 of the table", func() {
+		h := caughtUp(append(earlier(first-40, 2), earlier(first-1, 25)...)...)
+		a := h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), gatheredCounts(7))
+		a = h.expect(usage.Fix, first)
+		Expect(a.Drop).To(Equal([]string{usage.RowKey(first-41, 0), usage.RowKey(first-40, 0), usage.RowKey(first-25, 0)}))
+		sparse := newHolder(time.Second, append(earlier(first-40, 2), earlier(first-1, 22)...)...)
+		for range 100 {
+			a = sparse.next()
+			switch {
+			case a.Kind == usage.Gather && a.Window == first:
+				sparse.Gathered(a.ID, sparse.now(), gatheredCounts(7))
+			case a.Kind == usage.Gather:
+				sparse.Gathered(a.ID, sparse.now(), usage.Gathered{Covered: 3})
+			case a.Kind == usage.Wait:
+				sparse.at += 200 * time.Millisecond
+			}
+			if a.Kind == usage.Fix {
+				break
+			}
+		}
+		Expect(a.Kind).To(Equal(usage.Fix))
+		Expect(a.Drop).To(BeEmpty(), "a holder whose clock is ahead deletes nothing that is needed")
+	})
 })
