--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -39,6 +40,8 @@
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
 	relayedLines atomic.Int64
+	// usageCalls counts the calls between instances that concern usage reports.
+	usageCalls atomic.Int64
 }
 
 type instance struct {
@@ -94,6 +97,28 @@
 	return nil
 }
 
+// usageCallCounter counts the calls that concern usage reports on a listener.
+type usageCallCounter struct {
+	net.Listener
+	calls *atomic.Int64
+}
+
+func (l usageCallCounter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return usageCallConn{c, l.calls}, err
+}
+
+type usageCallConn struct {
+	net.Conn
+	calls *atomic.Int64
+}
+
+func (c usageCallConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.calls.Add(int64(bytes.Count(b[:n], []byte("Usage HTTP/1.1"))))
+	return n, err
+}
+
 // listMembers writes the members' entries.
 func (d *deployment) listMembers() {
 	for _, m := range d.group.Members() {
@@ -117,7 +142,7 @@
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: 4 * time.Second, FirstStart: true,
-		ClientListener: clients, PeerListener: peers, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
+		ClientListener: clients, PeerListener: usageCallCounter{peers, &d.usageCalls}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
 		Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
--- a/pkg/gateway/usage_test.go
+++ b/pkg/gateway/usage_test.go
@@ -80,6 +80,7 @@
 		ran := total(d.ranRequests())
 		Expect(ran["coop"]).To(BeNumerically(">", 100))
 		Eventually(func() map[string]uint64 { return total(d.promotions.Usage.Accepted()) }, eventualTimeout, pollInterval).Should(Equal(ran))
+		Expect(d.usageCalls.Load()).To(BeNumerically(">", 0), "the counter works")
 		for window, counts := range d.ranRequests() {
 			for workspace, n := range counts {
 				// A statement may be sent in one window and begin to run in the next.
@@ -167,5 +168,6 @@
 		time.Sleep(3 * usageWindow)
 		Expect(d.promotions.Usage.Calls()).To(BeEmpty())
 		Expect(d.store.Keys("mulberrysill-usage")).To(BeEmpty())
+		Expect(d.usageCalls.Load()).To(BeZero())
 	})
 })
