--- a/core/usage/property_test.go
+++ b/core/usage/property_test.go
@@ -68,7 +68,6 @@
 		case 9:
 			if !calm {
 				w.processes[i] = w.newProcess(i)
-				w.deaths++
 			}
 		case 10:
 			w.copies = append(w.copies, w.copyStore())
@@ -100,6 +99,26 @@
 	return w
 }
 
+// copyStore takes a copy of the store.
+func (w *world) copyStore() storeState {
+	c := w.store
+	c.rows = maps.Clone(c.rows)
+	return c
+}
+
+// restore restores the store from a copy.
+func (w *world) restore() {
+	if len(w.copies) == 0 {
+		return
+	}
+	c := rapid.SampledFrom(w.copies).Draw(w.t, "copy")
+	c.rows = maps.Clone(c.rows)
+	w.store = c
+	w.era++
+	w.restorations++
+	w.storeDown = false
+}
+
 // runLate executes a late call of the store or the platform.
 func (w *world) runLate() {
 	if len(w.late) == 0 {
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -74,7 +72,6 @@
 	highestToken  revision.Revision
 	violations    []string
 	restorations  int
-	deaths        int
 	acceptedCalls int
 	// failures counts the calls that have failed in sequence.
 	failures int
@@ -485,23 +482,3 @@
 	}
 	w.violate("the ledger of %v never waits", p.source)
 }
-
-// copyStore takes a copy of the store.
-func (w *world) copyStore() storeState {
-	c := w.store
-	c.rows = maps.Clone(c.rows)
-	return c
-}
-
-// restore restores the store from a copy.
-func (w *world) restore() {
-	if len(w.copies) == 0 || w.restorations >= math.MaxUint8 {
-		return
-	}
-	c := rapid.SampledFrom(w.copies).Draw(w.t, "copy")
-	c.rows = maps.Clone(c.rows)
-	w.store = c
-	w.era++
-	w.restorations++
-	w.storeDown = false
-}
