--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -230,7 +230,7 @@
 func (h *usageHolder) send(ctx context.Context, a usage.Action, duty, checked Duty, checkedAt time.Duration) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	err := error(nil)
+	err, asked := error(nil), false
 	if checked.Token != duty.Token || bootTime()-checkedAt >= usageCheckAge {
 		checkedAt = bootTime()
 		checked, err = h.gw.controller.readDuty(callCtx)
@@ -242,6 +242,7 @@
 	default:
 		sendCtx, cancel := context.WithTimeout(ctx, usageCallTimeout)
 		defer cancel()
+		asked = true
 		err = h.gw.cfg.UsageReporter.ReportUsage(sendCtx, duty, a.Report)
 	}
 	h.post(ctx, func(now usage.Time) {
@@ -256,7 +257,11 @@
 			h.ledger.Fenced(a.ID)
 		default:
 			errors.As(err, &refused)
-			h.logOutcome("usage-refused", a, logrus.Fields{"by": "platform", "retryAfterMs": refused.RetryAfter.Milliseconds()}).WithError(err).Info("report not accepted; retrying")
+			by := "platform"
+			if !asked {
+				by = "store"
+			}
+			h.logOutcome("usage-refused", a, logrus.Fields{"by": by, "retryAfterMs": refused.RetryAfter.Milliseconds()}).WithError(err).Info("report not accepted; retrying")
 			h.stats.count("not-accepted")
 			h.ledger.SendFailed(a.ID, now, refused.RetryAfter)
 		}
