--- a/pkg/config/gate_test.go
+++ b/pkg/config/gate_test.go
@@ -38,9 +38,9 @@
 		g.Expect(s.Duties).To(BeEmpty())
 		g.Expect(s.UsageReports).To(Equal(config.UsageReports{}))
 	}
-	s, err := config.ParseGate("gate.yaml", []byte(gateSettings+"duties: [\"usage_report\",\"promotion\"]\nusageReports: { window: 5s, lateness: 10s, tolerance: 0.05 }\n"))
+	s, err := config.ParseGate("gate.yaml", []byte(gateSettings+"duties: [\"first\",\"second\"]\nusageReports: { window: 5s, lateness: 10s, tolerance: 0.05 }\n"))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(s.Duties).To(Equal([]string{"usage_report", "promotion"}))
+	g.Expect(s.Duties).To(Equal([]string{"first", "second"}))
 	g.Expect(s.UsageReports).To(Equal(config.UsageReports{Window: config.Duration(5 * time.Second), Lateness: config.Duration(10 * time.Second), Tolerance: 0.05}))
 	_, err = config.ParseGate("gate.yaml", []byte(gateSettings+"usageReports: { window: 10ms, lateness: 1s, tolerance: 2 }\n"))
 	g.Expect(err).To(MatchError(And(
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 
+	"github.com/mulberrysill/mulberrysill/platform"
 	"github.com/mulberrysill/mulberrysill/platform/standin"
 	"github.com/mulberrysill/mulberrysill/standin/ports"
 	"github.com/mulberrysill/mulberrysill/standin/stack"
@@ -145,7 +146,7 @@
 		"revocationBound": revocationBound.String(), "gracePeriod": "4s",
 	}
 	if s.duty.expected {
-		values["duties"] = []string{"usage_report", "promotion"}
+		values["duties"] = []string{platform.UsageDuty}
 		values["usageReports"] = map[string]any{"window": usageWindow.String(), "lateness": "10s", "tolerance": usageTolerance}
 	}
 	settings, err := yaml.Marshal(values)
