Merge usage reports

Counts of requests by workspace and window, gathered per zone, fixed in the store before they are sent, and reported by the holder of the promotion lease. Off unless the settings list the duty.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,6 +36,12 @@
 	promotions *standin.PromotionServer
 	config     standin.Config
 	instances  []*instance
+	// usage is what the platform requires of usage reports; none by default.
+	usage gateway.UsageReports
+	// relayedLines counts the log lines of relayed statements, which are a sample.
+	relayedLines atomic.Int64
+	// usageCalls counts the calls between instances that concern usage reports.
+	usageCalls atomic.Int64
 }
 
 type instance struct {
@@ -44,7 +52,7 @@
 
 // newDeployment starts members and instances; rate applies to the workspace
 // coop.
-func newDeployment(instances int, rate float64) *deployment {
+func newDeployment(instances int, rate float64, options ...func(*deployment)) *deployment {
 	group, err := standin.NewGroup("g1", 3, maxConnections)
 	Expect(err).NotTo(HaveOccurred())
 	d := &deployment{store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group)}
@@ -63,6 +71,9 @@
 			{Name: "welder", Keys: []string{"k3"}, Rate: 1000, Burst: 1000},
 		},
 	}
+	for _, option := range options {
+		option(d)
+	}
 	d.store.PutConfig(d.config)
 	d.listMembers()
 	for n := range instances {
@@ -74,6 +85,40 @@
 	return d
 }
 
+// relayHook counts the log lines of relayed statements.
+type relayHook struct{ lines *atomic.Int64 }
+
+func (relayHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h relayHook) Fire(e *logrus.Entry) error {
+	if e.Data["event"] == "statement" && e.Data["relay"] != nil {
+		h.lines.Add(1)
+	}
+	return nil
+}
+
+// usageCallCounter counts the calls that concern usage reports on a listener.
+type usageCallCounter struct {
+	net.Listener
+	calls *atomic.Int64
+}
+
+func (l usageCallCounter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return usageCallConn{c, l.calls}, err
+}
+
+type usageCallConn struct {
+	net.Conn
+	calls *atomic.Int64
+}
+
+func (c usageCallConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.calls.Add(int64(bytes.Count(b[:n], []byte("Usage HTTP/1.1"))))
+	return n, err
+}
+
 // listMembers writes the members' entries.
 func (d *deployment) listMembers() {
 	for _, m := range d.group.Members() {
@@ -92,11 +137,13 @@
 	Expect(err).NotTo(HaveOccurred())
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
+	log.AddHook(relayHook{&d.relayedLines})
 	peers := listen()
+	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: 4 * time.Second, FirstStart: true,
-		ClientListener: clients, PeerListener: peers, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
-		Store: platform.NewStore(d.store.Address()), Promoter: platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://")),
+		ClientListener: clients, PeerListener: usageCallCounter{peers, &d.usageCalls}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
+		Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -32,6 +33,8 @@
 	GracePeriod time.Duration
 	// LimitTolerance is what the platform tolerates beyond the workspaces' limits.
 	LimitTolerance quota.Tolerance
+	// UsageReports says what the platform requires of usage reports.
+	UsageReports UsageReports
 	// FirstStart indicates the first start of the whole system; limits then
 	// start with a full burst.
 	FirstStart bool
@@ -43,8 +46,29 @@
 	Dialer            Dialer
 	Store             Store
 	Promoter          Promoter
-	Log               *logrus.Entry
-	Metrics           *metrics.Metrics
+	// UsageStore and UsageReporter are used only if UsageReports requires reports.
+	UsageStore    UsageStore
+	UsageReporter UsageReporter
+	Log           *logrus.Entry
+	Metrics       *metrics.Metrics
+}
+
+// UsageReports says what the platform requires of usage reports: one for each Window, at
+// most Lateness after its end, with counts that deviate from the true ones by at most the
+// fraction Tolerance. If Window is 0, no requests are counted and no reports are sent.
+type UsageReports struct {
+	Window, Lateness time.Duration
+	Tolerance        float64
+}
+
+func (u UsageReports) enabled() bool { return u.Window > 0 }
+
+// String describes the requirements for the log.
+func (u UsageReports) String() string {
+	if !u.enabled() {
+		return "off"
+	}
+	return fmt.Sprintf("window %s, lateness %s, tolerance %g", u.Window, u.Lateness, u.Tolerance)
 }
 
 // configLeaseMargin is subtracted from the revocation bound to allow for the
@@ -61,6 +85,10 @@
 	peers           *peers
 	controller      *controller
 	relayedSessions relayedSessions
+	// These are nil if the platform expects no usage reports.
+	usageCounter  *usageCounter
+	usageGatherer *usageGatherer
+	usageSender   *usageSender
 
 	eras storeEras
 
@@ -115,6 +143,9 @@
 	g.relayedSessions.sessions = map[string]*relayedSession{}
 	g.requests = newRequestLog(cfg.Log, cfg.Metrics)
 	g.limits = newLimits(cfg.FirstStart, cfg.LimitTolerance)
+	if cfg.UsageReports.enabled() {
+		g.usageCounter, g.usageGatherer, g.usageSender = newUsageCounter(cfg.UsageReports.Window), newUsageGatherer(), newUsageSender(g)
+	}
 	g.peers = newPeers(g)
 	g.controller = newController(g)
 	return g
@@ -132,13 +163,20 @@
 	g.spawn(func() { g.watchMembers(workCtx) })
 	g.spawn(func() { g.watchInstances(workCtx) })
 	g.spawn(func() { g.peers.run(workCtx) })
+	if g.usageSender != nil {
+		g.spawn(func() { g.usageSender.run(workCtx) })
+		g.spawn(func() { newUsageHolder(g).run(workCtx) })
+	}
 	go g.acceptClients(workCtx, failed)
-	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started}).Info("instance started")
+	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started, "usageReports": g.cfg.UsageReports.String()}).Info("instance started")
 	var err error
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
 		g.drain(workCtx)
+		if g.usageSender != nil {
+			g.usageSender.flush()
+		}
 	}
 	stop()
 	g.requests.close()
