--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"github.com/mulberrysill/mulberrysill/core/placement"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/quota"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 	"github.com/mulberrysill/mulberrysill/pkg/metrics"
@@ -35,6 +36,8 @@
 	ServingScope placement.ServingScope
 	// LimitTolerance is what the platform tolerates beyond the workspaces' limits.
 	LimitTolerance quota.Tolerance
+	// UsageReports says what the platform requires of usage reports.
+	UsageReports UsageReports
 	// FirstStart indicates the first start of the whole system; limits then
 	// start with a full burst.
 	FirstStart bool
@@ -46,8 +49,29 @@
 	Dialer            Dialer
 	Store             Store
 	Promoter          Promoter
-	Log               *logrus.Entry
-	Metrics           *metrics.Metrics
+	// UsageStore and UsageReporter are used only if UsageReports requires reports.
+	UsageStore    UsageStore
+	UsageReporter UsageReporter
+	Log           *logrus.Entry
+	Metrics       *metrics.Metrics
+}
+
+// UsageReports says what the platform requires of usage reports: one for each Window, at
+// most Lateness after its end, with counts that deviate from the true ones by at most the
+// fraction Tolerance. If Window is 0, no requests are counted and no reports are sent.
+type UsageReports struct {
+	Window, Lateness time.Duration
+	Tolerance        float64
+}
+
+func (u UsageReports) enabled() bool { return u.Window > 0 }
+
+// String describes the requirements for the log.
+func (u UsageReports) String() string {
+	if !u.enabled() {
+		return "off"
+	}
+	return fmt.Sprintf("window %s, lateness %s, tolerance %g", u.Window, u.Lateness, u.Tolerance)
 }
 
 // configLeaseMargin is subtracted from the revocation bound to allow for the
@@ -64,6 +88,10 @@
 	peers           *peers
 	controller      *controller
 	relayedSessions relayedSessions
+	// These are nil if the platform expects no usage reports.
+	usageCounter  *usageCounter
+	usageGatherer *usageGatherer
+	usageSender   *usageSender
 
 	eras storeEras
 
@@ -119,6 +147,9 @@
 	g.requests = newRequestLog(cfg.Log, cfg.Metrics)
 	g.limits = newLimits(cfg.FirstStart, cfg.LimitTolerance)
 	g.limits.restartsWithTokens = cfg.ServingScope == placement.ServingByMember
+	if cfg.UsageReports.enabled() {
+		g.usageCounter, g.usageGatherer, g.usageSender = newUsageCounter(cfg.UsageReports.Window), newUsageGatherer(), newUsageSender(g)
+	}
 	g.peers = newPeers(g)
 	g.controller = newController(g)
 	return g
@@ -136,13 +167,22 @@
 	g.spawn(func() { g.watchMembers(workCtx) })
 	g.spawn(func() { g.watchInstances(workCtx) })
 	g.spawn(func() { g.peers.run(workCtx) })
+	if g.usageSender != nil {
+		g.spawn(func() { g.usageSender.run(workCtx) })
+		g.spawn(func() { newUsageHolder(g).run(workCtx) })
+	}
 	go g.acceptClients(workCtx, failed)
-	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started, "servingScope": g.cfg.ServingScope.String()}).Info("instance started")
+	g.log.WithFields(logrus.Fields{
+		"event": "start", "started": g.started, "servingScope": g.cfg.ServingScope.String(), "usageReports": g.cfg.UsageReports.String(),
+	}).Info("instance started")
 	var err error
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
 		g.drain(workCtx)
+		if g.usageSender != nil {
+			g.usageSender.flush()
+		}
 	}
 	stop()
 	g.requests.close()
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -135,7 +135,9 @@
 		request.WaitedUs = time.Since(rec.started).Microseconds()
 		defer s.gw.peers.watchRelay(to, cancel).stop()
 	}
+	attempt := s.beginAttempt(st)
 	answer, err := to.client.Run(ctx, request)
+	s.endRelayedAttempt(attempt, rec.workspace, answer, err)
 	if err != nil {
 		s.gw.peers.markSuspect(to)
 		return statement.Reply{}, err
@@ -395,6 +397,7 @@
 		rec.err = e
 		out.Code, out.Verdict, out.Message, out.RetryAfterMs = string(e.Code), uint32(e.Verdict), e.Message, e.RetryAfter.Milliseconds()
 	}
+	s.reportAttempts(out)
 	s.gw.requests.record(*rec)
 	return out
 }
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -53,6 +53,11 @@
 	// waited is how long the statement has waited there.
 	member string
 	waited time.Duration
+	// startedAttempts is the number of attempts that members began to run for the current
+	// relayed statement, and lastStartedAt when the last one was sent, on the clock of
+	// bootTime. Both are for the usage reports.
+	startedAttempts uint32
+	lastStartedAt   time.Duration
 }
 
 // transaction is the client's open transaction.
@@ -72,6 +77,9 @@
 	uncharged bool
 	// member restricts the transaction to one member; "" does not.
 	member string
+	// isCounted is set once a statement of the transaction has begun to run, and has been
+	// counted for the usage reports.
+	isCounted bool
 }
 
 // run serves the client until the session ends.
