--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/pkg/gateway"
 	"github.com/mulberrysill/mulberrysill/platform"
 	"github.com/mulberrysill/mulberrysill/platform/standin"
@@ -36,6 +37,8 @@
 	promotions *standin.PromotionServer
 	config     standin.Config
 	instances  []*instance
+	// scope is the scope of the serving sets.
+	scope placement.ServingScope
 	// usage is what the platform requires of usage reports; none by default.
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
@@ -85,6 +88,9 @@
 	return d
 }
 
+// servedByMember makes the instances serve each member by a set of its own.
+func servedByMember(d *deployment) { d.scope = placement.ServingByMember }
+
 // relayHook counts the log lines of relayed statements.
 type relayHook struct{ lines *atomic.Int64 }
 
@@ -143,7 +149,7 @@
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: 4 * time.Second, FirstStart: true,
 		ClientListener: clients, PeerListener: usageCallCounter{peers, &d.usageCalls}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
-		Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
+		ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -10,12 +10,45 @@
 	"github.com/mulberrysill/mulberrysill/platform/standin"
 )
 
-var _ = Describe("many workspaces on few connections", func() {
+var _ = Describe("many workspaces on few connections, served by group", func() {
+	describeFewConnections(func(*deployment) {})
+})
+
+var _ = Describe("many workspaces on few connections, served by member", func() {
+	describeFewConnections(servedByMember)
+	It("are written to the next primary after the primary has died", func() {
+		d := newDeployment(3, 1000, servedByMember)
+		for _, i := range d.instances {
+			Expect(i.queryOnce("orders", "k1", "WRITE a before")[0:4]).To(Equal("DONE"))
+		}
+		d.group.Primary().Kill()
+		for n, i := range d.instances {
+			Eventually(func() string { return i.queryOnce("orders", "k1", fmt.Sprintf("WRITE a after%d", n)) }, eventualTimeout, pollInterval).Should(HavePrefix("DONE"))
+			Expect(i.queryOnce("orders", "k1", "READ a")).To(HavePrefix("ROW after"))
+		}
+	})
+	It("read at the other members while one is down", func() {
+		d := newDeployment(3, 1000, servedByMember)
+		for _, m := range d.group.Members() {
+			if m != d.group.Primary() {
+				m.Kill()
+				break
+			}
+		}
+		for _, i := range d.instances {
+			for range 20 {
+				Expect(i.queryOnce("stock", "k1", "READ a")).To(HavePrefix("ROW"))
+			}
+		}
+	})
+})
+
+func describeFewConnections(option func(*deployment)) {
 	// Each instance may open 8 connections to a member, fewer than the 12
 	// workspaces in use.
 	const workspaces = 12
 	start := func() *deployment {
-		d := newDeployment(3, 1000)
+		d := newDeployment(3, 1000, option)
 		for n := range workspaces {
 			d.config.Workspaces = append(d.config.Workspaces, standin.Workspace{
 				Name: fmt.Sprintf("w%d", n), Keys: []string{fmt.Sprintf("key%d", n)}, Rate: 10000, Burst: 10000,
@@ -83,4 +116,4 @@
 			Expect(d.instances[n%2].queryOnce("orders", fmt.Sprintf("key%d", n), "READ a")).To(HavePrefix("ROW"))
 		}
 	})
-})
+}
