Keep a connection for each workspace, and wait for it before opening another

Change: of surplus connections those of workspaces with several are closed first, and a request waits up to 40 ms for a connection on which its workspace runs a statement.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -8,6 +8,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/admission"
 	"github.com/mulberrysill/mulberrysill/core/placement"
+	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
 
@@ -250,7 +251,7 @@
 // holds p.mu.
 func (p *pool) reserve(req *connRequest, candidates []placement.Member) (grant, bool) {
 	choice := placement.Choose(candidates, p.zone)
-	if choice.Action == placement.Wait {
+	if choice.Action == placement.Wait || p.awaitsOwnConn(req, candidates, choice, time.Now()) {
 		return grant{}, false
 	}
 	m := p.members[candidates[choice.Member].ID]
@@ -264,25 +265,64 @@
 		conn.priority = req.priority
 		return grant{conn: conn}, true
 	case placement.Replace:
-		p.closeIdle(m, m.oldestIdle(req.workspace))
+		p.closeIdle(m, p.surplusIdle(m, req.workspace))
 	}
 	m.open++
 	m.opening++
 	return grant{member: m, priority: req.priority}, true
 }
 
+// awaitsOwnConn reports whether the request waits for a connection on which its workspace
+// runs a statement, for at most reuseWindow, rather than close one of another workspace.
+// Otherwise workspaces that take turns close each other's connections at every statement.
+// The caller holds p.mu.
+func (p *pool) awaitsOwnConn(req *connRequest, candidates []placement.Member, choice placement.Choice, now time.Time) bool {
+	if p.scope != placement.ServingByMember || choice.Action != placement.Replace {
+		return false
+	}
+	if req.awaitsOwnUntil.IsZero() {
+		req.awaitsOwnUntil = now.Add(reuseWindow)
+	}
+	if !now.Before(req.awaitsOwnUntil) {
+		return false
+	}
+	for c := range p.members[candidates[choice.Member].ID].running {
+		if c.workspace == req.workspace && c.state == statement.Idle {
+			return true
+		}
+	}
+	return false
+}
+
 // oldestIdle returns the least recently used idle connection of any other
 // workspace, or nil.
 func (m *poolMember) oldestIdle(workspace string) *pooledConn {
+	return m.oldestIdleOf(workspace, 1)
+}
+
+// oldestIdleOf returns the least recently used idle connection of any other workspace that
+// has at least so many, or nil.
+func (m *poolMember) oldestIdleOf(workspace string, atLeast int) *pooledConn {
 	var oldest *pooledConn
 	for w, list := range m.idle {
-		if w != workspace && len(list) > 0 && (oldest == nil || list[0].lastUsedAt.Before(oldest.lastUsedAt)) {
+		if w != workspace && len(list) >= atLeast && (oldest == nil || list[0].lastUsedAt.Before(oldest.lastUsedAt)) {
 			oldest = list[0]
 		}
 	}
 	return oldest
 }
 
+// surplusIdle returns the idle connection to close for one of the workspace: of a workspace
+// that has several, so that more workspaces keep one, or else the least recently used.
+func (p *pool) surplusIdle(m *poolMember, workspace string) *pooledConn {
+	if p.scope == placement.ServingByMember {
+		if c := m.oldestIdleOf(workspace, 2); c != nil {
+			return c
+		}
+	}
+	return m.oldestIdle(workspace)
+}
+
 // waitInQueue queues the request and waits for a grant. An empty grant means
 // that the members changed and the caller must choose again. The caller holds
 // p.mu.
@@ -303,6 +343,9 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	if until := req.awaitsOwnUntil; !until.IsZero() {
+		defer time.AfterFunc(time.Until(until), p.dispatchNow).Stop()
+	}
 	var g grant
 	select {
 	case g = <-w.grant:
@@ -373,12 +416,24 @@
 // Opening a connection occupies a slot for about as long as a statement.
 const reuseWindow = 40 * time.Millisecond
 
+func (p *pool) dispatchNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
+
 // dispatch grants connections to queued requests. The caller holds p.mu.
 func (p *pool) dispatch() {
 	now := time.Now()
 	p.queue.Advance(now)
 	action := func(queued admission.Item) placement.Action {
-		return placement.Choose(p.candidates(p.waiters[queued.ID].request, now), p.zone).Action
+		req := p.waiters[queued.ID].request
+		candidates := p.candidates(req, now)
+		choice := placement.Choose(candidates, p.zone)
+		if p.awaitsOwnConn(req, candidates, choice, now) {
+			return placement.Wait
+		}
+		return choice.Action
 	}
 	for p.queue.Len() > 0 {
 		first, ok := p.queue.Peek(func(queued admission.Item) bool { return action(queued) != placement.Wait })
--- a/pkg/gateway/memberset.go
+++ b/pkg/gateway/memberset.go
@@ -67,8 +67,8 @@
 	if m.open <= p.keptConns(m) {
 		return
 	}
-	if oldest := m.oldestIdle(""); oldest != nil {
-		p.closeIdle(m, oldest)
+	if c := p.surplusIdle(m, ""); c != nil {
+		p.closeIdle(m, c)
 	}
 }
 
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -184,6 +184,9 @@
 	// objective.
 	priority int
 	target   time.Time
+	// awaitsOwnUntil is until when the request waits for a connection of its workspace; zero
+	// if it need not.
+	awaitsOwnUntil time.Time
 	// load is the load when the request was last queued.
 	load admission.Load
 	// maxWait is the longest useful wait in the queue; a request expected to
