Compare the clock with two instances before sending usage reports

A new holder whose wall clock was wrong at its start must not decide which windows ended before a restoration. It asks gatherers if its clock was not compared yet. Changes of the era reach the ledger before answers do, as docs/design/usage.md requires.

--- a/pkg/gateway/usagecount.go
+++ b/pkg/gateway/usagecount.go
@@ -51,6 +51,13 @@
 	c.clock.Observe(peer, difference, roundTrip, bootTime())
 }
 
+// comparedClocks returns the number of peers with which the clock was compared.
+func (c *usageCounter) comparedClocks() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Peers(bootTime())
+}
+
 // usageAttempt is a statement that has been sent to a member or relayed to a peer. The zero
 // value is not counted.
 type usageAttempt struct {
--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -40,6 +40,7 @@
 	calls  []usageCall                         // guarded by mu
 	reads  int                                 // guarded by mu
 	claims int                                 // guarded by mu
+	lists  int                                 // guarded by mu
 	before func(holder string) error           // guarded by mu: before a transaction; an error prevents it
 	after  func(holder string) error           // guarded by mu: after a transaction
 	answer func(holder string, call int) error // guarded by mu: the answer to a call
@@ -98,6 +99,7 @@
 func (p *usagePlatform) FixedUsage(context.Context) ([]usage.FixedReport, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lists++
 	var out []usage.FixedReport
 	for _, r := range p.rows {
 		out = append(out, r)
@@ -404,3 +406,32 @@
 		g.Expect(c.report.Window).To(BeNumerically(">", window))
 	}
 }
+
+// A holder that starts while its wall clock is wrong must not give up or build windows
+// before others have corrected it.
+func TestUsageHolderComparesItsClockFirst(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newUsagePlatform()
+	a, _ := startUsageHolder(t, p, "a", 7)
+	others := make([]*peer, 0, minComparedClocks)
+	a.peers.mu.Lock()
+	for _, id := range []string{"x", "y"} {
+		other := a.peers.upsert(Instance{ID: id, PeerAddress: "127.0.0.1:1", Started: 1})
+		other.lastHeard = time.Now().Add(time.Minute)
+		others = append(others, other)
+	}
+	a.peers.mu.Unlock()
+	g.Expect(others).To(HaveLen(minComparedClocks))
+	p.claim(a)
+	listings := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.lists
+	}
+	g.Consistently(listings, 3*time.Second, testPoll).Should(BeZero())
+	for _, other := range others {
+		a.usageCounter.observeClock(other.ID, 0, time.Millisecond)
+	}
+	g.Eventually(listings, testTimeout, testPoll).Should(Equal(1))
+}
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -73,6 +73,8 @@
 		case <-ctx.Done():
 			return
 		case event := <-h.events:
+			// The ledger must know of a new era before it takes an answer.
+			h.observeLease(ctx)
 			event(h.now())
 		case <-ticker.C:
 		}
@@ -124,7 +126,11 @@
 func (h *usageHolder) takeOver(ctx context.Context, tenure uint64) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	fixed, err := h.gw.cfg.UsageStore.FixedUsage(callCtx)
+	var fixed []usage.FixedReport
+	err := h.compareClocks(callCtx)
+	if err == nil {
+		fixed, err = h.gw.cfg.UsageStore.FixedUsage(callCtx)
+	}
 	if err != nil && len(fixed) > 0 {
 		// Windows whose rows cannot be decoded are not reported: their rows are in the way.
 		h.gw.log.WithField("event", "usage-rows").WithError(err).Error("some fixed usage reports cannot be read")
@@ -148,6 +154,27 @@
 	})
 }
 
+// errClockNotCompared means that the clock was not compared with enough other instances.
+var errClockNotCompared = errors.New("the clock was not compared with enough instances")
+
+// compareClocks makes sure that this instance's clock was compared with minComparedClocks
+// others, or with all if there are fewer. The rule for restorations compares the end of a
+// window with the time at which the era became known; see docs/design/usage.md.
+func (h *usageHolder) compareClocks(ctx context.Context) error {
+	needed := min(minComparedClocks, len(h.gw.peers.usageSources())-1)
+	if h.gw.usageCounter.comparedClocks() >= needed {
+		return nil
+	}
+	h.gw.peers.collectUsage(ctx, usage.WindowAt(h.now().True, h.gw.cfg.UsageReports.Window)-1)
+	if h.gw.usageCounter.comparedClocks() >= needed {
+		return nil
+	}
+	return errClockNotCompared
+}
+
+// minComparedClocks is the number of other instances whose clocks outvote that of this one.
+const minComparedClocks = 2
+
 // isHolder reports whether the lease is a valid claim of this process.
 func (h *usageHolder) isHolder(d Duty) bool {
 	return d.Holder == h.gw.cfg.ID && d.Started == h.gw.started && !d.IsVoid()
