--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -90,8 +90,9 @@
 	if o.Instances == 0 {
 		o.Instances = defaultInstances
 	}
-	duty := drawUsageDuty(o.Seed)
-	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, duty)
+	duty, scope := drawUsageDuty(o.Seed), drawServingScope(o.Seed)
+	r.result.Timeline = append(r.result.Timeline, "serving scope: "+scope.String())
+	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, duty, scope)
 	if r.cluster != nil {
 		defer r.cluster.close()
 	}
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/platform"
 	"github.com/mulberrysill/mulberrysill/platform/standin"
 	"github.com/mulberrysill/mulberrysill/standin/ports"
@@ -50,6 +51,7 @@
 	group      *standin.Group
 	promotions *standin.PromotionServer
 	duty       usageDuty
+	scope      placement.ServingScope
 	links      []*stack.Link
 	instances  []*instance
 	copies     copies
@@ -90,13 +92,13 @@
 	return c.list[i].Copy
 }
 
-func startCluster(directory string, binaries []string, instances int, duty usageDuty) (*cluster, error) {
+func startCluster(directory string, binaries []string, instances int, duty usageDuty, scope placement.ServingScope) (*cluster, error) {
 	group, err := standin.NewGroup("orders", memberCount, maxConnections)
 	if err != nil {
 		return nil, err
 	}
 	group.ApplyDelay = replicaLag
-	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group), duty: duty}
+	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group), duty: duty, scope: scope}
 	s.promotions.Usage.SetFencing(duty.fencing)
 	s.config = standin.Config{Version: 1, Group: group.Name, MaxConnections: maxConnections, Workspaces: []standin.Workspace{
 		{Name: "coop", Keys: []string{stableKey, revocableKey}, Rate: 10000, Burst: 10000},
@@ -149,6 +151,9 @@
 		values["duties"] = []string{platform.UsageDuty}
 		values["usageReports"] = map[string]any{"window": usageWindow.String(), "lateness": "10s", "tolerance": usageTolerance}
 	}
+	if s.scope != placement.ServingByGroup {
+		values["servingScope"] = s.scope.String()
+	}
 	settings, err := yaml.Marshal(values)
 	if err != nil {
 		return err
--- a/test/soak/usage.go
+++ b/test/soak/usage.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/mulberrysill/mulberrysill/core/placement"
 )
 
 const (
@@ -36,6 +38,13 @@
 	return usageDuty{expected: rng.IntN(2) == 0, fencing: rng.IntN(2) == 0}
 }
 
+// drawServingScope draws the scope of the serving sets from a generator of its own, for the
+// same reason.
+func drawServingScope(seed uint64) placement.ServingScope {
+	rng := rand.New(rand.NewPCG(seed, seed+3))
+	return []placement.ServingScope{placement.ServingByGroup, placement.ServingByMember}[rng.IntN(2)]
+}
+
 // disruption is the time of a fault that may change what instances or members know.
 type disruption struct{ from, until time.Time }
 
