Mend what the review of the serving scope found

Idle time no longer counts as service time; the completion rate has the unit of the queue's costs; the state of running connections is read under the lock; tokens after a restart are divided only once the instances are listed; reads that all members refused for their load are refused at once; a slow answer does not make a peer suspect; the time waited travels with every statement; the wait at the own queue counts; dead instances leave the sets 5 s after a start; requests are dispatched at the end of a pause; failed openings do not change the learned costs; a read waits at most 100 ms for a position.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -184,6 +184,13 @@
 	c.charge(a, cost-charged)
 }
 
+// Cancel returns the charge of a dispatched request that did not use its connection. It says
+// nothing about the cost of requests.
+func (q *Queue) Cancel(workspace string, priority int, charged time.Duration) {
+	c := q.class(priority)
+	c.charge(c.account(workspace), -charged)
+}
+
 // Remove removes the item, for example when its client has disconnected, and
 // reports whether it was in the queue.
 func (q *Queue) Remove(workspace string, id uint64) bool {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -266,10 +266,13 @@
 	return true, 0
 }
 
-// Grant lets this instance admit a number of operations although the bucket is below the
-// reserve: its part of the tokens with which the bucket started after a restart. Until the
+// Grant adds tokens to the bucket after a restart, and lets this instance admit its part of
+// them, a number of operations, although the bucket is below the reserve. Until the
 // instances know of each other's demand, no share of the refill is better than any other.
-func (l *Limiter) Grant(operations uint64) { l.grant = operations }
+func (l *Limiter) Grant(operations uint64, tokens float64) {
+	l.grant = operations
+	l.level = min(l.level+tokens, max(l.level, reserveFraction*l.limit.Burst))
+}
 
 // fits reports whether the tokens above the reserve cover what all instances are asked
 // for until their next reports, given this instance's share of that.
--- a/core/quota/restart_test.go
+++ b/core/quota/restart_test.go
@@ -41,10 +41,10 @@
 			for range instances {
 				widened := tolerance.Widen(stated)
 				level := tolerance.RestartLevel(stated)
-				l := quota.New(widened, level, start)
+				l := quota.New(widened, 0, start)
 				l.SetInstances(instances, false)
 				if grant {
-					l.Grant(uint64(math.Floor(level * widened.Burst / instances)))
+					l.Grant(uint64(math.Floor(level*widened.Burst/instances)), level*widened.Burst)
 				}
 				for range 10 {
 					if ok, _ := l.Admit(start.Add(10 * time.Millisecond)); ok {
--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -8,7 +8,6 @@
 
 	"github.com/mulberrysill/mulberrysill/core/admission"
 	"github.com/mulberrysill/mulberrysill/core/placement"
-	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
 
@@ -221,14 +220,14 @@
 // statementLimit returns the maximum number of statements that this instance
 // may have in flight on the member.
 func (p *pool) statementLimit(m *poolMember) int {
-	slots, instances := max(m.Slots, 1), max(p.servingInstances, 1)
+	slots, instances := max(m.Slots, 1), p.servingInstances
 	if p.scope == placement.ServingByMember {
 		instances = max(p.memberSetSize, 1)
 		if m.pace != nil {
 			return m.pace.LimitAt(time.Now())
 		}
 	}
-	return max((slots*statementsPerSlot+instances-1)/instances, 1)
+	return max((slots*statementsPerSlot+instances-1)/max(instances, 1), 1)
 }
 
 // preferredReplica returns the replica on which the workspace's connections
@@ -263,6 +262,10 @@
 		m.idleCount--
 		m.running[conn] = struct{}{}
 		conn.priority = req.priority
+		if p.scope == placement.ServingByMember {
+			// Until the statement is sent, the connection has not been used for it.
+			conn.lastUsedAt = time.Time{}
+		}
 		return grant{conn: conn}, true
 	case placement.Replace:
 		p.closeIdle(m, p.surplusIdle(m, req.workspace))
@@ -282,12 +285,13 @@
 	}
 	if req.awaitsOwnUntil.IsZero() {
 		req.awaitsOwnUntil = now.Add(reuseWindow)
+		time.AfterFunc(reuseWindow, p.dispatchNow)
 	}
 	if !now.Before(req.awaitsOwnUntil) {
 		return false
 	}
 	for c := range p.members[candidates[choice.Member].ID].running {
-		if c.workspace == req.workspace && c.state == statement.Idle {
+		if c.workspace == req.workspace && !c.inTransaction {
 			return true
 		}
 	}
@@ -343,9 +347,6 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	if until := req.awaitsOwnUntil; !until.IsZero() {
-		defer time.AfterFunc(time.Until(until), p.dispatchNow).Stop()
-	}
 	var g grant
 	select {
 	case g = <-w.grant:
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		m.open--
 		if p.scope == placement.ServingByMember {
-			p.queue.DoneWithPriority(req.workspace, g.priority, g.charged, 0)
+			p.queue.Cancel(req.workspace, g.priority, g.charged)
 		}
 		p.noteOpenFailure(m, err, time.Since(started))
 		p.dispatch()
@@ -77,6 +77,10 @@
 	if p.members[m.ID] != m || m.down {
 		m.open--
 		conn.Close()
+		if p.scope == placement.ServingByMember {
+			p.queue.Cancel(req.workspace, g.priority, g.charged)
+			p.dispatch()
+		}
 		return nil, errors.New("the member was removed")
 	}
 	m.running[c] = struct{}{}
@@ -163,6 +167,8 @@
 		holdTime := now.Sub(c.lastUsedAt)
 		p.meanHoldTime += time.Duration(holdTimeSmoothing * float64(holdTime-p.meanHoldTime))
 		p.queue.DoneWithPriority(c.workspace, c.priority, c.charged, holdTime)
+	} else if p.scope == placement.ServingByMember {
+		p.queue.Cancel(c.workspace, c.priority, c.charged)
 	}
 	c.charged, c.isOwnCall = 0, false
 	if !reusable || c.closed || c.state != statement.Idle || m.down || p.members[m.ID] != m || !m.acceptsWork(m.ID == p.primary, now) || m.open > p.connLimit(m) {
@@ -200,6 +206,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.notePace(c, now, takesSlot, refused, err)
+	c.inTransaction = c.state != statement.Idle
 	c.busySince = time.Time{}
 	if err == nil {
 		c.member.noteAnswer(now)
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
@@ -95,6 +96,15 @@
 	return g.closingSessions
 }
 
+// relayedTransactions returns the number of open transactions of peers that the instance waits
+// for before it ends. If members have serving sets, most transactions are relayed.
+func (g *Gateway) relayedTransactions() int {
+	if g.cfg.ServingScope != placement.ServingByMember {
+		return 0
+	}
+	return g.relayedSessions.count()
+}
+
 // drain shuts the instance down. It announces the departure, waits until the
 // platform sends no more clients, closes idle sessions, and gives open
 // transactions until shortly before the end of the grace period. Sessions that
@@ -120,7 +130,7 @@
 		g.sessionsMu.Lock()
 		left := len(g.sessions)
 		g.sessionsMu.Unlock()
-		if left += g.relayedSessions.count(); left == 0 {
+		if left += g.relayedTransactions(); left == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -129,5 +139,5 @@
 	g.sessionsMu.Lock()
 	left := len(g.sessions)
 	g.sessionsMu.Unlock()
-	g.log.WithFields(logrus.Fields{"event": "drained", "sessions": left, "relayedTransactions": g.relayedSessions.count()}).Info("drained")
+	g.log.WithFields(logrus.Fields{"event": "drained", "sessions": left, "relayedTransactions": g.relayedTransactions()}).Info("drained")
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -291,6 +291,9 @@
 	era, eraAge := g.eras.knownFor()
 	s.StoreEra, s.StoreEraAgeMs = era, eraAge.Milliseconds()
 	g.limits.setInstances(live, isolated)
+	if ps.listedAt.Load() > 0 {
+		g.limits.divideGrants()
+	}
 	s.Usages, s.Partial = usages(g.limits.report(workspaces)), workspaces != nil
 	g.forEachPool(func(p *pool) {
 		if primary := p.primaryState(); primary != nil {
--- a/pkg/gateway/fleetview.go
+++ b/pkg/gateway/fleetview.go
@@ -18,6 +18,10 @@
 	maxCachedChoices = 8192
 )
 
+// restartViewPeriod is the time after the start of this process in which serving sets are
+// chosen from all listed instances while few have been heard from.
+const restartViewPeriod = 5 * time.Second
+
 // fleetView is a list of instances with the choices made from it by rendezvous hashing.
 // Choosing among some hundred instances for each group and statement would take most of
 // an instance's processor time, while the list rarely changes.
@@ -142,7 +146,7 @@
 		return p.alive(now) && !now.Before(p.suspectUntil) && !p.lastHeard.IsZero()
 	}))
 	f.serving = f.healthy
-	if len(f.healthy.instances) <= len(ps.byID)/2 {
+	if bootTime()-ps.startedAt < restartViewPeriod && len(f.healthy.instances) <= len(ps.byID)/2 {
 		// After a restart nobody has been heard from yet. If each instance took only itself
 		// for healthy, all of them would open connections to all members.
 		f.serving = f.unheard.replace(ps.selectInstances(func(p *peer, now time.Time) bool { return !p.leaving && !now.Before(p.suspectUntil) }))
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -55,12 +55,10 @@
 		if limiter := l.limiters[w.Name]; limiter != nil {
 			limiter.SetLimit(limit, now)
 		} else {
-			level := l.initialLevel
-			if l.restartsWithTokens && level == 0 {
-				level = l.tolerance.RestartLevel(stated)
-				l.grants[w.Name] = level * limit.Burst
+			if l.restartsWithTokens && l.initialLevel == 0 {
+				l.grants[w.Name] = l.tolerance.RestartLevel(stated) * limit.Burst
 			}
-			limiter = quota.New(limit, level, now)
+			limiter = quota.New(limit, l.initialLevel, now)
 			limiter.SetInstances(l.instances, false)
 			l.limiters[w.Name] = limiter
 		}
@@ -110,21 +108,24 @@
 	for _, limiter := range l.limiters {
 		limiter.SetInstances(instances, isolated)
 	}
-	if instances > 1 {
-		l.divideGrants()
-	}
 }
 
-// divideGrants gives this instance its part of the tokens with which limiters have started.
-// A part below one operation is one with that probability. The caller holds l.mu.
+// divideGrants gives this instance its part of the tokens with which buckets start after a
+// restart. The caller calls it once the instances have been listed. A part below one
+// operation is one with that probability.
 func (l *limits) divideGrants() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.instances <= 1 {
+		return
+	}
 	for name, tokens := range l.grants {
 		part, fraction := math.Modf(tokens / float64(l.instances))
 		if rand.Float64() < fraction {
 			part++
 		}
 		if limiter := l.limiters[name]; limiter != nil {
-			limiter.Grant(uint64(part))
+			limiter.Grant(uint64(part), tokens)
 		}
 	}
 	clear(l.grants)
--- a/pkg/gateway/memberset_test.go
+++ b/pkg/gateway/memberset_test.go
@@ -225,6 +225,7 @@
 		l.restartsWithTokens = true
 		l.configure(testWorkspaces)
 		l.setInstances(instances, false)
+		l.divideGrants()
 		for range 5 {
 			if ok, _, _ := l.admit("w"); ok {
 				total++
@@ -237,6 +238,7 @@
 	served := newLimits(false, tolerance)
 	served.configure(testWorkspaces)
 	served.setInstances(instances, false)
+	served.divideGrants()
 	ok, _, _ := served.admit("w")
 	g.Expect(ok).To(BeFalse(), "a fleet that is served by group starts with an empty bucket")
 }
--- a/pkg/gateway/pacing.go
+++ b/pkg/gateway/pacing.go
@@ -41,6 +41,9 @@
 		return
 	}
 	m.pace.Finish(now, c.paced, paceOutcome(refused, err))
+	if until := m.pace.RetryAt(); until.After(now) {
+		time.AfterFunc(until.Sub(now), p.dispatchNow)
+	}
 	if from, to, changed := m.pace.LimitChangedByHalf(); changed {
 		state := m.pace.State()
 		p.instances.gw.log.WithFields(logrus.Fields{
@@ -90,7 +93,8 @@
 	}
 	if m.pace != nil {
 		if rate, known := m.pace.CompletionRate(); known {
-			load.Rate = rate * m.pace.ServiceTime().Mean.Seconds()
+			// The queue counts the time for which requests hold their connections.
+			load.Rate = rate * p.meanHoldTime.Seconds()
 		}
 	}
 	return load
@@ -99,7 +103,11 @@
 // refuse returns the refusal of a request with the load, and the time after which the client
 // is to retry. The caller holds p.mu.
 func (p *pool) refuse(text string, req *connRequest, load admission.Load, now time.Time) error {
-	service := time.Duration(float64(p.meanHoldTime) / max(load.Rate, 1))
+	rate := load.Rate
+	if rate <= 0 {
+		rate = float64(max(load.Limit, 1))
+	}
+	service := time.Duration(float64(p.meanHoldTime) / rate)
 	after := p.retryTimes.Next(now, req.priority, admission.ExpectedWait(load), service)
 	return p.queueFullError(text).WithRetryAfter(after)
 }
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -162,6 +162,9 @@
 	paced pace.Statement
 	// state is the session state last reported by the member.
 	state statement.State
+	// inTransaction is set while a transaction is open; unlike state, it is guarded by the
+	// pool's mutex.
+	inTransaction bool
 	// idleInTransaction is set while an open transaction waits for its client.
 	idleInTransaction bool
 	// isOwnCall is set while the connection is used for calls of the gateway's own.
--- a/pkg/gateway/positions.go
+++ b/pkg/gateway/positions.go
@@ -35,8 +35,11 @@
 	return p.fetching
 }
 
+// positionWait is how long a read waits for a position of the primary.
+const positionWait = 100 * time.Millisecond
+
 // awaitPosition waits until a request for the primary's position has ended, for at most
-// peerTimeout. It returns at once if this instance does not fetch positions.
+// positionWait. It returns at once if this instance does not fetch positions.
 func (p *pool) awaitPosition() {
 	p.mu.Lock()
 	if !p.fetchesPositions() {
@@ -45,7 +48,12 @@
 	}
 	fetch := p.beginPositionFetch()
 	p.mu.Unlock()
-	<-fetch.done
+	timer := time.NewTimer(positionWait)
+	defer timer.Stop()
+	select {
+	case <-fetch.done:
+	case <-timer.C: // the read goes on to the primary
+	}
 }
 
 func (p *pool) fetchPosition(fetch *positionFetch) {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -131,15 +131,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+relayTimeoutMargin)
 	defer cancel()
-	if request.Member = member; member != "" && mayRepeat {
+	if request.Member = member; member != "" {
 		request.WaitedUs = time.Since(rec.started).Microseconds()
-		defer s.gw.peers.watchRelay(to, cancel).stop()
+		giveUp := cancel
+		if !mayRepeat {
+			giveUp = func() {} // its outcome has to be awaited
+		}
+		defer s.gw.peers.watchRelay(to, giveUp).stop()
 	}
 	attempt := s.beginAttempt(st)
 	answer, err := to.client.Run(ctx, request)
 	s.endRelayedAttempt(attempt, rec.workspace, answer, err)
 	if err != nil {
-		s.gw.peers.markSuspect(to)
+		// If members have serving sets, a peer that left a slow statement without an answer
+		// still serves others; watchRelay finds those that have stopped.
+		if member == "" || isDialError(err) {
+			s.gw.peers.markSuspect(to)
+		}
 		return statement.Reply{}, err
 	}
 	to.noteResponse()
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/mulberrysill/mulberrysill/core/admission"
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/statement"
@@ -65,18 +66,22 @@
 	var targets []placement.Target
 	for id, m := range p.members {
 		isPrimary := id == p.primary
-		if m.down || req.excluded[id] || (req.needsPrimary && !isPrimary) || !m.acceptsWork(req.needsPrimary, now) {
+		if (m.down && m.served) || req.excluded[id] || (req.needsPrimary && !isPrimary) || !m.acceptsWork(req.needsPrimary, now) {
 			continue
 		}
 		t := placement.Target{
 			ID: id, SameZone: m.Zone == p.zone, IsPrimary: isPrimary, Rank: memberRank(req.workspace, id),
 			BackingOff: !req.needsPrimary && now.Before(m.readBackoffUntil),
 		}
-		if r := p.targets[id]; !r.reportedAt.IsZero() {
-			t.BackingOff = t.BackingOff || now.Before(r.backingOffBefore)
-			if now.Sub(r.reportedAt) < reportedWaitTTL {
-				t.ExpectedWait = r.expectedWait
+		r := p.targets[id]
+		t.BackingOff = t.BackingOff || now.Before(r.backingOffBefore)
+		if m.served {
+			item := admission.Item{Workspace: req.workspace, Priority: req.priority, Member: id}
+			if load := p.memberLoad(m, item, now); !load.HasFreeSlot() {
+				t.ExpectedWait = admission.ExpectedWait(load)
 			}
+		} else if now.Sub(r.reportedAt) < reportedWaitTTL {
+			t.ExpectedWait = r.expectedWait
 		}
 		members, targets = append(members, m.Member), append(targets, t)
 	}
@@ -101,9 +106,10 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	r := p.targets[member]
-	r.expectedWait, r.reportedAt = expectedWait, now
 	if refused {
 		r.backingOffBefore = now.Add(targetBackoff)
+	} else {
+		r.expectedWait, r.reportedAt = expectedWait, now
 	}
 	p.targets[member] = r
 }
@@ -135,6 +141,9 @@
 	isRead            bool
 	retryDelay        time.Duration
 	last              error
+	// mayChange is set if a member did not take the statement for another reason than its
+	// load.
+	mayChange bool
 }
 
 // next returns where to try next, or the error with which to refuse the statement.
@@ -143,7 +152,7 @@
 		if d, ok := m.pool.chooseDestination(&m.req); ok {
 			return d, nil
 		}
-		if !m.waitForMember(ctx) {
+		if (m.last != nil && !m.mayChange) || !m.waitForMember(ctx) {
 			return destination{}, m.refusal()
 		}
 	}
@@ -181,6 +190,7 @@
 	if !atPeer {
 		m.last = err
 	}
+	m.mayChange = m.mayChange || atPeer || verdict.FromError(err).Code != verdict.QueueFull
 	if m.req.needsPrimary {
 		// The member may no longer lead, or may be down, or the peer lacks the newest
 		// configuration: only time helps. A queue that is too long does not get shorter by
@@ -216,7 +226,7 @@
 	isWrite := s.isWrite(op.Statement)
 	search := &memberSearch{
 		pool: op.pool, route: op.route, started: op.rec.started, deadline: op.deadline, isRead: !isWrite,
-		req: connRequest{workspace: op.workspace.Name, needsPrimary: isWrite || op.route.Consistency == catalog.Strict, excluded: map[string]bool{}},
+		req: connRequest{workspace: op.workspace.Name, needsPrimary: isWrite || op.route.Consistency == catalog.Strict, priority: op.route.Priority, excluded: map[string]bool{}},
 	}
 	for {
 		at, err := search.next(ctx)
@@ -240,7 +250,7 @@
 
 // runAt runs the statement at the destination.
 func (s *session) runAt(ctx context.Context, op *operation, at destination) (statement.Reply, error) {
-	op.member = at.member
+	op.member, op.waited = at.member, time.Since(op.rec.started)
 	switch {
 	case at.peer != nil:
 		return s.relaySingle(ctx, at.peer, op, false)
@@ -258,7 +268,7 @@
 	tx := s.tx
 	search := &memberSearch{
 		pool: tx.pool, route: tx.route, started: rec.started, deadline: rec.started.Add(statementTimeout(tx.route)), isRead: tx.readOnly,
-		req: connRequest{workspace: tx.workspace.Name, needsPrimary: !tx.readOnly || tx.route.Consistency == catalog.Strict, excluded: map[string]bool{}},
+		req: connRequest{workspace: tx.workspace.Name, needsPrimary: !tx.readOnly || tx.route.Consistency == catalog.Strict, priority: tx.route.Priority, excluded: map[string]bool{}},
 	}
 	for {
 		at, err := search.next(ctx)
@@ -271,7 +281,9 @@
 			tx.peer, tx.relayID = at.peer, lastRelayedTransaction.Add(1)
 			reply, err = s.relayInTransaction(ctx, st, true, rec)
 		} else {
+			s.waited = time.Since(rec.started)
 			err = s.beginAtMember(ctx, st, search.deadline, rec)
+			s.waited = 0
 		}
 		if err == nil {
 			return reply, at.peer != nil, nil
@@ -279,7 +291,7 @@
 		if s.tx == nil {
 			return reply, true, err // the transaction has ended at the peer
 		}
-		tx.peer, tx.hasWritten = nil, false
+		tx.peer, tx.hasWritten, tx.isCounted = nil, false, false
 		if !search.failed(ctx, at, err) {
 			s.endAfterError(st)
 			return statement.Reply{}, true, notRunUnlessKnown(err)
