Read a member's entry under the lock when a connection is opened

Cause: the list of members replaces the entry while a connection is opened, which the race detector reports (update.go against connections.go). Change: the entry is copied under the pool's mutex.

--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -59,7 +59,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	conn, err := p.dialer.Open(ctx, m.Member, req.workspace)
+	p.mu.Lock()
+	entry := m.Member // the list of members may change it meanwhile
+	p.mu.Unlock()
+	conn, err := p.dialer.Open(ctx, entry, req.workspace)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.opening--
