Date an era of the store only by a compared clock

EraChanged was called with a time from process start on, before the clock was compared, and the ledger keeps the earliest. A process whose wall clock was behind accepted rows of the former era. The same happened when the offsets expired. The test was seen failing without the change.

--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -435,3 +435,32 @@
 	}
 	g.Eventually(listings, testTimeout, testPoll).Should(Equal(1))
 }
+
+// listUsagePeers adds peers that are listed but were never heard from.
+func listUsagePeers(g *Gateway, ids ...string) {
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	for _, id := range ids {
+		g.peers.upsert(Instance{ID: id, PeerAddress: "127.0.0.1:1", Started: 1})
+	}
+}
+
+// A clock that has not been compared must not date the era: one that is behind made the
+// holder accept rows of the former era, which a late transaction may have written.
+func TestUsageEraIsNotDatedByAnUncomparedClock(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	gw := newUsageSource(t, 0)
+	gw.usageCounter.clock = usage.NewClock(time.Duration(time.Now().UnixNano())-time.Minute, bootTime())
+	listUsagePeers(gw, "x", "y")
+	gw.observeEra(1)
+	h := newUsageHolder(gw)
+	h.observeLease(context.Background())
+	for _, id := range []string{"x", "y"} {
+		gw.usageCounter.observeClock(id, time.Minute, 0)
+	}
+	h.observeLease(context.Background())
+	window := usage.WindowAt(h.now().True, testUsageWindow) - 5
+	h.ledger.TookOver(h.now(), []usage.FixedReport{{Report: usage.Report{Window: window, Counts: usage.Counts{"coop": 3}}, Rows: 1}})
+	g.Expect(h.ledger.Next(h.now()).Kind).NotTo(Equal(usage.Send))
+}
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,7 @@
 	heldSince  time.Duration
 	listedAt   time.Duration
 	knownEra   uint64
+	datedEra   uint64        // the last era of which the ledger has been told since when it is known
 	checkedAt  time.Duration // when the last confirmation of the lease was asked
 	checked    Duty          // the lease that was confirmed
 	gathered   map[usage.Window]usage.Gathered
@@ -102,7 +104,13 @@
 			h.holding, h.knownEra = false, era
 			h.tenure++
 		}
-		h.ledger.EraChanged(era, now.True-age)
+		// The ledger keeps the earliest time that it is told, so that a wrong clock must not
+		// date the era. Until then all windows count as ended before it.
+		since := time.Duration(math.MaxInt64)
+		if h.gw.clockIsCompared() {
+			since, h.datedEra = now.True-age, era
+		}
+		h.ledger.EraChanged(era, since)
 	}
 	duty, _, _ := h.gw.peers.dutyHolder()
 	if !h.gw.controller.mayAct() || duty.Token.Era() != h.knownEra {
@@ -145,7 +153,7 @@
 	}
 	h.post(ctx, func(now usage.Time) {
 		h.takingOver = false
-		if err != nil || tenure != h.tenure || !h.isHolder(duty) || duty.Token.Era() != h.knownEra {
+		if err != nil || tenure != h.tenure || !h.isHolder(duty) || duty.Token.Era() != h.knownEra || h.datedEra != h.knownEra {
 			return
 		}
 		h.holding, h.checked, h.checkedAt = true, duty, asked
@@ -161,17 +169,22 @@
 // others, or with all if there are fewer. The rule for restorations compares the end of a
 // window with the time at which the era became known; see docs/design/usage.md.
 func (h *usageHolder) compareClocks(ctx context.Context) error {
-	needed := min(minComparedClocks, len(h.gw.peers.usageSources())-1)
-	if h.gw.usageCounter.comparedClocks() >= needed {
+	if h.gw.clockIsCompared() {
 		return nil
 	}
 	h.gw.peers.collectUsage(ctx, usage.WindowAt(h.now().True, h.gw.cfg.UsageReports.Window)-1)
-	if h.gw.usageCounter.comparedClocks() >= needed {
+	if h.gw.clockIsCompared() {
 		return nil
 	}
 	return errClockNotCompared
 }
 
+// clockIsCompared reports whether this instance's clock is corrected by those of enough
+// others at this moment. Offsets expire, so that a comparison does not hold for ever.
+func (g *Gateway) clockIsCompared() bool {
+	return g.usageCounter.comparedClocks() >= min(minComparedClocks, len(g.peers.usageSources())-1)
+}
+
 // minComparedClocks is the number of other instances whose clocks outvote that of this one.
 const minComparedClocks = 2
 
