Count listed instances, not only live ones, before a clock counts as compared

An instance that was cut off from all others needed no comparison and took over on its raw clock. The test was seen failing without the change.

--- a/pkg/gateway/usagegather.go
+++ b/pkg/gateway/usagegather.go
@@ -119,6 +119,19 @@
 	return out
 }
 
+// countPresent returns the number of peers that have neither left nor been forgotten.
+func (ps *peers) countPresent() int {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	n := 0
+	for _, p := range ps.byID {
+		if !p.leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // collectUsage asks the gatherers of all zones for the sums of a window, and returns the
 // answers by zone.
 func (ps *peers) collectUsage(ctx context.Context, window usage.Window) map[string][]usage.Sum {
--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -464,3 +464,24 @@
 	h.ledger.TookOver(h.now(), []usage.FixedReport{{Report: usage.Report{Window: window, Counts: usage.Counts{"coop": 3}}, Rows: 1}})
 	g.Expect(h.ledger.Next(h.now()).Kind).NotTo(Equal(usage.Send))
 }
+
+// An instance that hears nobody must not take over on its uncompared clock: the others are
+// cut off from it, not gone.
+func TestUsageClockOfAnIsolatedInstanceIsNotCompared(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	gw := newUsageSource(t, 0)
+	g.Expect(gw.clockIsCompared()).To(BeTrue(), "there are no others")
+	listUsagePeers(gw, "x", "y", "z")
+	gw.peers.mu.Lock()
+	for _, p := range gw.peers.byID {
+		p.addedAt = time.Now().Add(-2 * peerAliveTimeout)
+	}
+	gw.peers.byID["z"].leaving = true
+	gw.peers.mu.Unlock()
+	g.Expect(gw.clockIsCompared()).To(BeFalse())
+	gw.usageCounter.observeClock("x", 0, 0)
+	g.Expect(gw.clockIsCompared()).To(BeFalse())
+	gw.usageCounter.observeClock("y", 0, 0)
+	g.Expect(gw.clockIsCompared()).To(BeTrue())
+}
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -180,9 +180,10 @@
 }
 
 // clockIsCompared reports whether this instance's clock is corrected by those of enough
-// others at this moment. Offsets expire, so that a comparison does not hold for ever.
+// others at this moment. Offsets expire, so that a comparison does not hold for ever. Others
+// that are not heard of count until they are forgotten: this instance may be cut off.
 func (g *Gateway) clockIsCompared() bool {
-	return g.usageCounter.comparedClocks() >= min(minComparedClocks, len(g.peers.usageSources())-1)
+	return g.usageCounter.comparedClocks() >= min(minComparedClocks, g.peers.countPresent())
 }
 
 // minComparedClocks is the number of other instances whose clocks outvote that of this one.
