Do not send lower fencing tokens after a renewal of the same process

After a refusal the lease was always claimed again, also if a promotion of this process had just renewed it. A report was sent with the token of the moment at which its action was chosen.

--- a/core/usage/action.go
+++ b/core/usage/action.go
@@ -21,8 +21,8 @@
 	// GiveUp says that nothing will be sent for the windows Action.Window to Action.Last. It
 	// has no answer.
 	GiveUp
-	// ReadLease asks to read the promotion lease's row and, if it still names this process,
-	// to claim it again. Answers: LeaseKept, LeaseLost or LeaseReadFailed.
+	// ReadLease asks to read the promotion lease's row and to claim it again if it still has
+	// the token that the platform has refused. Answers: LeaseKept, LeaseLost or LeaseReadFailed.
 	ReadLease
 )
 
--- a/core/usage/events.go
+++ b/core/usage/events.go
@@ -82,7 +82,7 @@
 }
 
 // LeaseKept answers ReadLease: the row names this process, which has claimed the lease
-// again.
+// again if its newest token was refused.
 func (l *Ledger) LeaseKept(id uint64) {
 	if _, ok := l.lease.finish(id); ok {
 		l.leaseInDoubt = false
--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -485,3 +485,48 @@
 	gw.usageCounter.observeClock("y", 0, 0)
 	g.Expect(gw.clockIsCompared()).To(BeTrue())
 }
+
+// A promotion of the same process may have renewed the claim before a report was refused.
+// Claiming once more would give later promotions a lower token than reports.
+func TestUsageHolderDoesNotClaimOverItsOwnRenewal(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newUsagePlatform()
+	a, _ := startUsageHolder(t, p, "a", 7)
+	p.setHooks(nil, nil, func(_ string, call int) error {
+		if call > 1 {
+			return nil
+		}
+		duty, _ := p.ReadDuty(context.Background())
+		if _, err := p.ClaimDuty(context.Background(), duty, "a", a.started); err != nil {
+			return err
+		}
+		return ErrFenced
+	})
+	p.claim(a)
+	g.Eventually(func() int { return len(p.callsOf("a")) }, testTimeout, testPoll).Should(BeNumerically(">=", 2))
+	calls := p.callsOf("a")
+	g.Expect(calls[1].duty.Token).To(Equal(calls[0].duty.Token+1), "the renewed claim")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.Expect(p.claims).To(Equal(2), "the claim of the test and the renewal")
+}
+
+// A report whose action was decided before a renewal must not be sent with the former token
+// once a promotion may have used the new one.
+func TestUsageReportIsNotSentWithAFormerTokenOfItsProcess(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newUsagePlatform()
+	gw := newUsageSource(t, 0)
+	gw.cfg.Store, gw.cfg.UsageStore, gw.cfg.UsageReporter = p, p, p
+	p.claim(gw)
+	former, _, _ := gw.peers.dutyHolder()
+	p.claim(gw)
+	h := newUsageHolder(gw)
+	h.send(context.Background(), usage.Action{Kind: usage.Send}, former, former, bootTime())
+	g.Expect(p.callsOf("")).To(BeEmpty())
+	renewed, _, _ := gw.peers.dutyHolder()
+	h.send(context.Background(), usage.Action{Kind: usage.Send}, renewed, renewed, bootTime())
+	g.Expect(p.callsOf("")).To(HaveLen(1))
+}
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/usage"
 )
 
@@ -43,12 +44,14 @@
 	tenure              uint64
 	// heldSince is when this process was first seen as the holder, on the clock of bootTime;
 	// 0 if it is not.
-	heldSince  time.Duration
-	listedAt   time.Duration
-	knownEra   uint64
-	datedEra   uint64        // the last era of which the ledger has been told since when it is known
-	checkedAt  time.Duration // when the last confirmation of the lease was asked
-	checked    Duty          // the lease that was confirmed
+	heldSince time.Duration
+	listedAt  time.Duration
+	knownEra  uint64
+	datedEra  uint64        // the last era of which the ledger has been told since when it is known
+	checkedAt time.Duration // when the last confirmation of the lease was asked
+	checked   Duty          // the lease that was confirmed
+	// refused is the token that the platform has refused, until the lease was read; 0 if none.
+	refused    revision.Revision
 	gathered   map[usage.Window]usage.Gathered
 	lateLogged usage.Window
 	// oldest is the oldest window that has not been accepted, and oldestSince since when it
@@ -194,6 +197,13 @@
 	return d.Holder == h.gw.cfg.ID && d.Started == h.gw.started && !d.IsVoid()
 }
 
+// isCurrentClaim reports whether the claim is the newest one that this process knows and its
+// own.
+func (ps *peers) isCurrentClaim(d Duty) bool {
+	current, self, _ := ps.dutyHolder()
+	return self && current.Token == d.Token
+}
+
 // act starts the due actions.
 func (h *usageHolder) act(ctx context.Context) {
 	if !h.holding {
@@ -220,7 +230,7 @@
 		case usage.GiveUp:
 			h.logGivenUp(a)
 		case usage.ReadLease:
-			go h.readLease(ctx, a)
+			go h.readLease(ctx, a, h.refused)
 		}
 	}
 }
@@ -278,7 +288,7 @@
 	}
 	switch {
 	case err != nil:
-	case !h.isHolder(checked) || checked.Token != duty.Token || bootTime()-checkedAt >= usageCheckAge:
+	case !h.isHolder(checked) || checked.Token != duty.Token || !h.gw.peers.isCurrentClaim(duty) || bootTime()-checkedAt >= usageCheckAge:
 		err = errLeaseNotConfirmed
 	default:
 		sendCtx, cancel := context.WithTimeout(ctx, usageCallTimeout)
@@ -295,6 +305,7 @@
 		case errors.Is(err, ErrFenced):
 			h.logOutcome("usage-refused", a, logrus.Fields{"by": "platform", "token": duty.Token}).WithError(err).Warn("report refused; reading the promotion lease")
 			h.stats.count("fenced")
+			h.refused = duty.Token
 			h.ledger.Fenced(a.ID)
 		default:
 			errors.As(err, &refused)
@@ -309,14 +320,15 @@
 	})
 }
 
-// readLease reads the promotion lease after a rejected token, and claims it again if it
-// still names this process.
-func (h *usageHolder) readLease(ctx context.Context, a usage.Action) {
+// readLease reads the promotion lease after a rejected token. It claims the lease again only
+// if that still has the token that the platform has refused. If a promotion of this process
+// has renewed the claim meanwhile, the renewed one is used.
+func (h *usageHolder) readLease(ctx context.Context, a usage.Action, refused revision.Revision) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	duty, err := h.gw.controller.readDuty(callCtx)
 	kept := err == nil && h.isHolder(duty)
-	if kept {
+	if kept && duty.Token == refused {
 		var claimed Duty
 		if claimed, err = h.gw.cfg.Store.ClaimDuty(callCtx, duty, h.gw.cfg.ID, h.gw.started); err == nil {
 			h.gw.peers.updateDuty(claimed)
@@ -330,10 +342,11 @@
 		case err != nil:
 			h.ledger.LeaseReadFailed(a.ID, now)
 		case kept:
+			h.refused = 0
 			h.ledger.LeaseKept(a.ID)
 		default:
+			h.refused, h.holding = 0, false
 			h.ledger.LeaseLost()
-			h.holding = false
 		}
 	})
 }
