Act on usage reports only under a claim of the era that the ledger knows

The claim was read again after the check of the era, so that a ledger of one era could act under a claim of the next. The test was seen failing without the change.

--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -530,3 +530,25 @@
 	h.send(context.Background(), usage.Action{Kind: usage.Send}, renewed, renewed, bootTime())
 	g.Expect(p.callsOf("")).To(HaveLen(1))
 }
+
+// A ledger that does not know of a new era must not act under a claim of that era: rows of
+// the former era would count as accepted in the new one.
+func TestUsageLedgerOfAFormerEraDoesNotAct(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newUsagePlatform()
+	gw := newUsageSource(t, 0)
+	gw.cfg.Store, gw.cfg.UsageStore, gw.cfg.UsageReporter = p, p, p
+	p.duty = Duty{Token: revision.New(2, 1), ClaimedIn: 2}
+	gw.observeEra(2)
+	ageEra(gw, minDutyTenure)
+	p.claim(gw)
+	g.Expect(gw.controller.mayAct()).To(BeTrue())
+	h := newUsageHolder(gw)
+	h.holding, h.knownEra = true, 1
+	h.ledger.EraChanged(1, 0)
+	window := usage.WindowAt(h.now().True, testUsageWindow) - 2
+	h.ledger.TookOver(h.now(), []usage.FixedReport{{Report: usage.Report{Window: window, Counts: usage.Counts{"coop": 3}}, Era: 1, Rows: 1}})
+	h.act(context.Background())
+	g.Expect(h.ledger.Next(h.now()).Kind).To(Equal(usage.Send), "the ledger still waits to send")
+}
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -210,8 +210,8 @@
 		return
 	}
 	duty, self, _ := h.gw.peers.dutyHolder()
-	if !self {
-		return // observeLease will find out
+	if !self || duty.Token.Era() != h.knownEra || !h.gw.controller.mayAct() {
+		return // the lease or the era has changed since observeLease, which will find out
 	}
 	for {
 		now := h.now()
