Wait for the counts of silent instances until they are forgotten

A holder that was cut off from its peers took its own counts for those of the whole fleet and fixed them 1 s after the end of the window, with nothing missing. Listed instances that have not left now count as missing, so that the window waits until 3.5 s after its end. Empty windows that are late are still passed after one question if only silent instances are missing: otherwise a new holder would take 2 s for each of up to 24.

Combine takes the silent sources as a third argument; its tests pass nil or name them.

--- a/core/usage/combine.go
+++ b/core/usage/combine.go
@@ -8,22 +8,26 @@
 	// Covered is the number of sources that have sent their counts after the end of the
 	// window. Gone is the number of sources with counts that no longer live, and
 	// GoneRequests the number of requests that they counted. Missing is the number of live
-	// sources that are not covered.
-	Covered, Gone, Missing int
-	GoneRequests           uint64
+	// sources that are not covered, and Silent how many of them are not heard of.
+	Covered, Gone, Missing, Silent int
+	GoneRequests                   uint64
 }
 
 // Combine adds up the sums of a window over the availability zones. sums holds, for each
 // zone, the responses of its gatherers; a gatherer that did not respond has none. Of each
 // zone only the better response counts, since both gatherers of a zone have received the
-// same counts. live lists the live sources of all zones.
-func Combine(sums map[string][]Sum, live []Source) Gathered {
+// same counts. live lists the sources of all zones that are heard of, and silent those that
+// are not, but may live: the holder may be cut off from them.
+func Combine(sums map[string][]Sum, live, silent []Source) Gathered {
 	total := Gathered{Counts: Counts{}}
-	alive := make(map[Source]bool, len(live))
+	missing := make(map[Source]bool, len(live)+len(silent))
+	isSilent := make(map[Source]bool, len(silent))
 	for _, s := range live {
-		alive[s] = true
+		missing[s] = true
+	}
+	for _, s := range silent {
+		missing[s], isSilent[s] = true, true
 	}
-	coveredLive := 0
 	for _, responses := range sums {
 		if len(responses) == 0 {
 			continue
@@ -39,16 +43,24 @@
 			if s.Complete {
 				total.Covered++
 			}
+			_, present := missing[s.Source]
 			switch {
-			case !alive[s.Source] && s.Requests > 0:
+			case !present && s.Requests > 0:
 				total.Gone++
 				total.GoneRequests += s.Requests
-			case alive[s.Source] && s.Complete:
-				coveredLive++
+			case present && s.Complete:
+				missing[s.Source] = false
 			}
 		}
 	}
-	total.Missing = len(alive) - coveredLive
+	for s, m := range missing {
+		if m {
+			total.Missing++
+		}
+		if m && isSilent[s] {
+			total.Silent++
+		}
+	}
 	return total
 }
 
--- a/core/usage/gatherer_test.go
+++ b/core/usage/gatherer_test.go
@@ -89,7 +89,7 @@
 var _ = Describe("the total of a window", func() {
 	DescribeTable("takes one response of each zone and adds up the zones",
 		func(want uint64, missing int, sums map[string][]usage.Sum) {
-			g := usage.Combine(sums, append(liveSources("x", 3), liveSources("y", 2)...))
+			g := usage.Combine(sums, append(liveSources("x", 3), liveSources("y", 2)...), nil)
 			Expect(g.Counts.Total()).To(Equal(want))
 			Expect(g.Missing).To(Equal(missing))
 		},
@@ -103,13 +103,18 @@
 			map[string][]usage.Sum{"x": {sumOf("x", 3, 10)}, "y": nil}),
 	)
 	It("says how much comes from sources that are gone", func() {
-		g := usage.Combine(map[string][]usage.Sum{"x": {sumOf("x", 4, 10)}}, liveSources("x", 3))
+		g := usage.Combine(map[string][]usage.Sum{"x": {sumOf("x", 4, 10)}}, liveSources("x", 3), nil)
 		Expect(g).To(Equal(usage.Gathered{Counts: usage.Counts{"a": 40}, Covered: 4, Gone: 1, GoneRequests: 10}))
 	})
 	It("does not count a live source as covered whose last counts are missing", func() {
 		s := sumOf("x", 3, 10)
 		s.Sources[1].Complete = false
-		g := usage.Combine(map[string][]usage.Sum{"x": {s}}, liveSources("x", 3))
+		g := usage.Combine(map[string][]usage.Sum{"x": {s}}, liveSources("x", 3), nil)
 		Expect(g).To(Equal(usage.Gathered{Counts: usage.Counts{"a": 30}, Covered: 2, Missing: 1}))
 	})
+	// Guards against a holder that is cut off and takes its own counts for those of all.
+	It("counts silent sources as missing unless they are covered", func() {
+		g := usage.Combine(map[string][]usage.Sum{"x": {sumOf("x", 3, 10)}}, liveSources("x", 2), append(liveSources("x", 3)[2:], liveSources("y", 2)...))
+		Expect(g).To(Equal(usage.Gathered{Counts: usage.Counts{"a": 30}, Covered: 3, Missing: 2, Silent: 2}))
+	})
 })
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -17,8 +17,9 @@
 	gatherRetryInterval = 700 * time.Millisecond
 	gatherTimeout       = 3500 * time.Millisecond
 	// minEmptyGathers is the number of times that the holder asks for a window of which
-	// nothing is known while live instances are missing. A single failure of the network
-	// must not lose a window that is already late.
+	// nothing is known while instances that are heard of are missing. A single failure of
+	// the network must not lose a window that is already late. Instances that are not heard
+	// of are asked for once: a new holder may have RetainedWindows empty windows to pass.
 	minEmptyGathers = 4
 	// resendWindows is the number of past windows whose fixed reports a new holder sends
 	// again.
@@ -263,7 +264,8 @@
 	if b.ready {
 		return l.fixReport(now, Report{w, b.best.Counts}, b.best)
 	}
-	if b.asked > 0 && b.best.Counts.Total() == 0 && (b.best.Missing == 0 || b.asked >= minEmptyGathers && now.True >= w.End(l.length)+l.lateness) {
+	isAskedEnough := b.best.Missing == b.best.Silent || b.asked >= minEmptyGathers
+	if b.asked > 0 && b.best.Counts.Total() == 0 && (b.best.Missing == 0 || isAskedEnough && now.True >= w.End(l.length)+l.lateness) {
 		g := b.best
 		l.giveUp(w)
 		return Action{Kind: GiveUp, Window: w, Last: w, Reason: NothingKnown, Gathered: g}, 0
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -146,6 +146,17 @@
 		Expect(h.expect(usage.GiveUp, first).Reason).To(Equal(usage.NothingKnown))
 		h.expectWait(6 * time.Second)
 	})
+	// Guards against a new holder that spends seconds on each of the old empty windows because
+	// its predecessor has just died.
+	It("asks once for an empty window that is late if only silent sources are missing", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		h.at = first.End(windowLength) + time.Second
+		a := h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), usage.Gathered{Missing: 1, Silent: 1})
+		Expect(h.Next(h.now()).Kind).To(Equal(usage.Wait), "the window is not late")
+		h.at = first.End(windowLength) + lateness
+		Expect(h.expect(usage.GiveUp, first).Reason).To(Equal(usage.NothingKnown))
+	})
 	It("goes on asking when no gatherer responds, until the report is late", func() {
 		h := caughtUp(earlier(first-1, 25)...)
 		for h.at < first.End(windowLength)+lateness {
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -449,7 +449,7 @@
 			sums[g.zone] = append(sums[g.zone], g.gatherer.Sum(a.Window))
 		}
 	}
-	p.ledger.Gathered(a.ID, w.time(p), usage.Combine(sums, live))
+	p.ledger.Gathered(a.ID, w.time(p), usage.Combine(sums, live, nil))
 }
 
 // work lets p do what its ledger asks for.
--- a/pkg/gateway/usagegather.go
+++ b/pkg/gateway/usagegather.go
@@ -109,31 +109,23 @@
 	return sum
 }
 
-// usageSources returns the processes that live and count.
-func (ps *peers) usageSources() []usage.Source {
+// usageSources returns the processes that count, this one included: those that are heard of,
+// and silent ones that have neither left nor been forgotten.
+func (ps *peers) usageSources() (live, silent []usage.Source) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := time.Now()
-	out := []usage.Source{ps.gw.usageSource()}
+	live = []usage.Source{ps.gw.usageSource()}
 	for _, p := range ps.byID {
-		if p.alive(now) {
-			out = append(out, usage.Source{Instance: p.ID, Started: p.Started})
+		source := usage.Source{Instance: p.ID, Started: p.Started}
+		switch {
+		case p.alive(now):
+			live = append(live, source)
+		case !p.leaving:
+			silent = append(silent, source)
 		}
 	}
-	return out
-}
-
-// countPresent returns the number of peers that have neither left nor been forgotten.
-func (ps *peers) countPresent() int {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	n := 0
-	for _, p := range ps.byID {
-		if !p.leaving {
-			n++
-		}
-	}
-	return n
+	return live, silent
 }
 
 // collectUsage asks the gatherers of all zones for the sums of a window, and returns the
--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -552,3 +552,23 @@
 	h.act(context.Background())
 	g.Expect(h.ledger.Next(h.now()).Kind).To(Equal(usage.Send), "the ledger still waits to send")
 }
+
+// A holder that is cut off from others must not fix its own counts as those of all before
+// the last time at which it asks.
+func TestUsageHolderWaitsForSilentInstances(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newUsagePlatform()
+	a, _ := startUsageHolder(t, p, "a", 7)
+	listUsagePeers(a, "x")
+	a.peers.mu.Lock()
+	a.peers.byID["x"].addedAt = time.Now().Add(-2 * peerAliveTimeout)
+	a.peers.mu.Unlock()
+	a.usageCounter.observeClock("x", 0, 0)
+	p.claim(a)
+	g.Eventually(func() int { return len(p.callsOf("a")) }, testTimeout, testPoll).Should(BeNumerically(">=", 2))
+	for _, c := range p.callsOf("a") {
+		sinceEnd := time.Duration(c.at.UnixNano()) - c.report.Window.End(testUsageWindow)
+		g.Expect(sinceEnd).To(BeNumerically(">", 2700*time.Millisecond), "the last time is 3.5 s after the end, less the interval of 0.7 s")
+	}
+}
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -186,7 +186,8 @@
 // others at this moment. Offsets expire, so that a comparison does not hold for ever. Others
 // that are not heard of count until they are forgotten: this instance may be cut off.
 func (g *Gateway) clockIsCompared() bool {
-	return g.usageCounter.comparedClocks() >= min(minComparedClocks, g.peers.countPresent())
+	live, silent := g.peers.usageSources()
+	return g.usageCounter.comparedClocks() >= min(minComparedClocks, len(live)+len(silent)-1)
 }
 
 // minComparedClocks is the number of other instances whose clocks outvote that of this one.
@@ -238,7 +239,8 @@
 // gather asks the gatherers of all zones for the sums of a window.
 func (h *usageHolder) gather(ctx context.Context, a usage.Action) {
 	sums := h.gw.peers.collectUsage(ctx, a.Window)
-	gathered := usage.Combine(sums, h.gw.peers.usageSources())
+	live, silent := h.gw.peers.usageSources()
+	gathered := usage.Combine(sums, live, silent)
 	h.post(ctx, func(now usage.Time) { h.ledger.Gathered(a.ID, now, gathered) })
 }
 
