Name the calls of two holders that may overtake each other

The delay of 1 s after a claim protects reports of the new holder only, not its promotions. Renewing the claim before reports would cost more than one call of the store a window while the platform refuses them, and would make the token of a promotion in preparation out of date. No code changes, and no test.

--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -22,7 +22,8 @@
 	usageCheckAge = 200 * time.Millisecond
 	// usageTakeoverDelay is how long a claim must have been held before the new holder sends
 	// reports. A former holder that confirmed its lease just before the claim may send for
-	// usageCheckAge, and its call takes a while to arrive.
+	// usageCheckAge, and its call takes a while to arrive. Promotions do not wait; see
+	// docs/PROMISES.md.
 	usageTakeoverDelay = time.Second
 	// usageCallTimeout bounds one call to the platform. A call without an answer is repeated.
 	usageCallTimeout = time.Second
