Give up windows whose rows cannot be decoded

Such a row refused the transaction of its window for ever, and later windows waited for it. If all rows were of that kind, no holder took over. ParseRows now returns these windows as a typed error, and TookOver gives them up. They count for the lowest window that may be built, as other rows do.

TookOver takes them as a third argument; its tests pass nil. The new tests were seen failing: that of the ledger with the windows ignored, that of the holder with the former condition. The check of the error's windows needs the new type.

--- a/core/usage/action.go
+++ b/core/usage/action.go
@@ -47,9 +47,11 @@
 	Contradiction
 	// TooLarge means that the report does not fit into one transaction.
 	TooLarge
+	// Undecodable means that the store's rows of the window cannot be decoded.
+	Undecodable
 )
 
-var reasonNames = [...]string{"nothing-known", "too-old", "former-era", "contradiction", "too-large"}
+var reasonNames = [...]string{"nothing-known", "too-old", "former-era", "contradiction", "too-large", "undecodable"}
 
 // String returns the name of the reason in log lines.
 func (r Reason) String() string { return reasonNames[r] }
--- a/core/usage/events.go
+++ b/core/usage/events.go
@@ -8,8 +8,9 @@
 )
 
 // TookOver says that the process has claimed the promotion lease, and afterwards listed the
-// fixed reports. It must be called again after LeaseLost and after EraChanged.
-func (l *Ledger) TookOver(now Time, fixed []FixedReport) {
+// fixed reports. undecodable holds the number of rows of each window whose report cannot be
+// decoded (UndecodableError). It must be called again after LeaseLost and after EraChanged.
+func (l *Ledger) TookOver(now Time, fixed []FixedReport, undecodable map[Window]int) {
 	l.stop()
 	l.holding = true
 	l.current = WindowAt(now.True, l.length)
@@ -20,6 +21,8 @@
 	for _, f := range fixed {
 		l.rows[f.Window] = f.Rows
 	}
+	maps.Copy(l.rows, undecodable)
+	l.undecodable = slices.Sorted(maps.Keys(undecodable))
 	// A row is deleted only if the table has RetainedWindows newer windows, so that lower
 	// windows than these may have been reported.
 	l.floor = NoWindow
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -58,6 +58,9 @@
 	known map[Window]*knownReport
 	// givenUp holds the windows for which nothing will be sent.
 	givenUp map[Window]bool
+	// undecodable holds the windows that are to be given up because their rows cannot be
+	// decoded. No report of them can be fixed.
+	undecodable []Window
 	// rows is the number of rows in the store for each window.
 	rows map[Window]int
 	// floor is the lowest window that is built. Rows of lower ones may have been deleted.
@@ -174,6 +177,14 @@
 	}
 	l.current = w
 	maps.DeleteFunc(l.givenUp, func(given Window, _ bool) bool { return given < l.oldest() && given < l.next })
+	for len(l.undecodable) > 0 {
+		given := l.undecodable[0]
+		l.undecodable = l.undecodable[1:]
+		if l.known[given] != nil || given >= l.oldest() && !l.givenUp[given] {
+			l.giveUp(given)
+			return Action{Kind: GiveUp, Window: given, Last: given, Reason: Undecodable}, true
+		}
+	}
 	for l.next < l.oldest() {
 		if l.isDone(l.next) {
 			l.next++
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -34,7 +34,7 @@
 
 func newHolder(afterEnd time.Duration, fixed ...usage.FixedReport) *holder {
 	h := &holder{usage.NewLedger(windowLength, lateness), first.End(windowLength) + afterEnd}
-	h.TookOver(h.now(), fixed)
+	h.TookOver(h.now(), fixed, nil)
 	return h
 }
 
@@ -146,6 +146,28 @@
 		Expect(h.expect(usage.GiveUp, first).Reason).To(Equal(usage.NothingKnown))
 		h.expectWait(6 * time.Second)
 	})
+	// Guards against a row that cannot be decoded and blocks all later windows, whose
+	// transactions wait for those of its window.
+	It("gives up a window whose rows cannot be decoded, and goes on with the next", func() {
+		h := caughtUp(earlier(first-1, 25)...)
+		h.at = (first + 1).End(windowLength) + time.Second
+		h.TookOver(h.now(), earlier(first-1, 25), map[usage.Window]int{first: 2})
+		a := h.Next(h.now())
+		for a.Kind == usage.Send {
+			h.Sent(a.ID)
+			h.at += time.Second
+			a = h.Next(h.now())
+		}
+		Expect(a).To(Equal(usage.Action{Kind: usage.GiveUp, Window: first, Last: first, Reason: usage.Undecodable}))
+		a = h.Next(h.now())
+		for a.Kind == usage.Send {
+			h.Sent(a.ID)
+			h.at += time.Second
+			a = h.Next(h.now())
+		}
+		Expect(a.Kind).To(Equal(usage.Gather))
+		Expect(a.Window).To(Equal(first + 1))
+	})
 	// Guards against a new holder that spends seconds on each of the old empty windows because
 	// its predecessor has just died.
 	It("asks once for an empty window that is late if only silent sources are missing", func() {
--- a/core/usage/rows.go
+++ b/core/usage/rows.go
@@ -119,14 +119,29 @@
 	return rows, nil
 }
 
+// UndecodableError means that some rows cannot be decoded.
+type UndecodableError struct {
+	// Windows holds the number of rows, up to the last one that was seen, of each window
+	// whose report cannot be decoded.
+	Windows map[Window]int
+	err     error
+}
+
+// Error returns a text that names the rows.
+func (e *UndecodableError) Error() string { return e.err.Error() }
+
+// Unwrap returns the first cause.
+func (e *UndecodableError) Unwrap() error { return e.err }
+
 // ParseRows decodes the rows of any number of reports, in any order, and returns the
-// complete reports by window. The error names the windows that cannot be decoded; the
-// others are returned with it.
+// complete reports by window. If some cannot be decoded, it returns the others with an
+// *UndecodableError.
 func ParseRows(rows []Row) ([]FixedReport, error) {
 	type partial struct {
 		report FixedReport
 		seen   [MaxReportRows]bool
 		count  int
+		last   int
 		err    error
 	}
 	partials := map[Window]*partial{}
@@ -142,6 +157,7 @@
 			p = &partial{report: FixedReport{Report: Report{w, Counts{}}}}
 			partials[w] = p
 		}
+		p.last = max(p.last, index)
 		var v rowValue
 		if err := json.Unmarshal(row.Value, &v); err != nil {
 			p.err = errors.Wrapf(err, "row %s of a usage report", row.Key)
@@ -159,6 +175,7 @@
 		p.report.Counts.add(v.Counts)
 	}
 	var reports []FixedReport
+	undecodable := map[Window]int{}
 	for _, w := range slices.Sorted(maps.Keys(partials)) {
 		p := partials[w]
 		if p.err == nil && p.count != p.report.Rows {
@@ -166,9 +183,13 @@
 		}
 		if p.err != nil {
 			failed = errors.CombineErrors(failed, p.err)
+			undecodable[w] = p.last + 1
 			continue
 		}
 		reports = append(reports, p.report)
 	}
-	return reports, failed
+	if failed != nil {
+		return reports, &UndecodableError{undecodable, failed}
+	}
+	return reports, nil
 }
--- a/core/usage/rows_test.go
+++ b/core/usage/rows_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -71,7 +72,9 @@
 			append(rows[1:len(rows):len(rows)], usage.Row{Key: usage.RowKey(7, 0), Value: []byte("{")}),
 		} {
 			reports, err := usage.ParseRows(append(damaged, other...))
-			Expect(err).To(HaveOccurred())
+			undecodable := new(usage.UndecodableError)
+			Expect(errors.As(err, &undecodable)).To(BeTrue())
+			Expect(undecodable.Windows).To(Equal(map[usage.Window]int{7: len(rows)}))
 			Expect(reports).To(HaveLen(1))
 			Expect(reports[0].Window).To(Equal(usage.Window(8)))
 		}
--- a/core/usage/takeover_test.go
+++ b/core/usage/takeover_test.go
@@ -50,7 +50,7 @@
 		h, send := remembering()
 		h.Sent(send.ID)
 		h.LeaseLost()
-		h.TookOver(h.now(), append(earlier(first-1, 25), stored(send.Report)))
+		h.TookOver(h.now(), append(earlier(first-1, 25), stored(send.Report)), nil)
 		Expect(h.resend()).NotTo(ContainElement(first))
 	})
 })
@@ -127,7 +127,7 @@
 		h.EraChanged(1, h.at)
 		h.expectWait(math.MaxInt64)
 		h.Sent(send.ID)
-		h.TookOver(h.now(), nil)
+		h.TookOver(h.now(), nil, nil)
 		var written []usage.Window
 		for range 100 {
 			a := h.next()
@@ -150,7 +150,7 @@
 	It("a window that ended before the era was known is given up by a process that has not fixed it", func() {
 		h, fix := fixing()
 		h.EraChanged(1, h.at)
-		h.TookOver(h.now(), nil)
+		h.TookOver(h.now(), nil, nil)
 		h.Fixed(fix.ID, h.now(), usage.FixedReport{Report: fix.Report, Rows: 1})
 		for range 100 {
 			a := h.next()
@@ -177,7 +177,7 @@
 			for i := range fixed {
 				fixed[i].Era = 2
 			}
-			h.TookOver(h.now(), append(fixed, usage.FixedReport{Report: usage.Report{Window: first, Counts: usage.Counts{"a": 1}}, Era: era, Rows: 1}))
+			h.TookOver(h.now(), append(fixed, usage.FixedReport{Report: usage.Report{Window: first, Counts: usage.Counts{"a": 1}}, Era: era, Rows: 1}), nil)
 			for range 100 {
 				a := h.next()
 				if a.Kind == usage.Send {
@@ -199,7 +199,7 @@
 	It("a report that differs from the remembered one is not sent", func() {
 		h, send := remembering()
 		h.EraChanged(1, h.at)
-		h.TookOver(h.now(), []usage.FixedReport{{Report: usage.Report{Window: first, Counts: usage.Counts{"a": 1}}, Rows: 1}})
+		h.TookOver(h.now(), []usage.FixedReport{{Report: usage.Report{Window: first, Counts: usage.Counts{"a": 1}}, Rows: 1}}, nil)
 		a := h.expect(usage.GiveUp, first)
 		Expect(a.Reason).To(Equal(usage.Contradiction))
 		h.Sent(send.ID)
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -281,7 +281,7 @@
 	if err != nil {
 		w.violate("%v", err)
 	}
-	p.ledger.TookOver(w.time(p), fixed)
+	p.ledger.TookOver(w.time(p), fixed, nil)
 }
 
 // reportInStore returns what the store holds for a window.
--- a/pkg/gateway/usageprotocol.go
+++ b/pkg/gateway/usageprotocol.go
@@ -17,7 +17,7 @@
 	// any other error the report may have been written.
 	FixUsage(ctx context.Context, duty Duty, report usage.Report, drop []string) (usage.FixedReport, error)
 	// FixedUsage returns all fixed reports, of one era. If some cannot be decoded, it returns
-	// the others with an error.
+	// the others with a *usage.UndecodableError.
 	FixedUsage(ctx context.Context) ([]usage.FixedReport, error)
 }
 
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -143,8 +143,9 @@
 	if err == nil {
 		fixed, err = h.gw.cfg.UsageStore.FixedUsage(callCtx)
 	}
-	if err != nil && len(fixed) > 0 {
-		// Windows whose rows cannot be decoded are not reported: their rows are in the way.
+	undecodable := new(usage.UndecodableError)
+	if errors.As(err, &undecodable) {
+		// No report of these windows can be fixed, because their rows are in the way.
 		h.gw.log.WithField("event", "usage-rows").WithError(err).Error("some fixed usage reports cannot be read")
 		err = nil
 	}
@@ -161,7 +162,7 @@
 			return
 		}
 		h.holding, h.checked, h.checkedAt = true, duty, asked
-		h.ledger.TookOver(now, fixed)
+		h.ledger.TookOver(now, fixed, undecodable.Windows)
 		h.gw.log.WithFields(logrus.Fields{"event": "usage-holder", "token": duty.Token, "fixed": len(fixed)}).Info("this instance sends the usage reports")
 	})
 }
