Log dropped takeovers and dropped usage counts

A takeover that was dropped left no trace; it is now logged once per reason. Counter.Dropped was never read. It grows at each new window in normal operation, so that the log line depends on the new DroppedEarly: counts that were dropped before they were too old to be reported.

--- a/core/usage/counter.go
+++ b/core/usage/counter.go
@@ -9,6 +9,8 @@
 	version uint64
 	windows map[Window]*countedWindow
 	dropped uint64
+	// droppedEarly is the part of dropped whose windows were still to be reported.
+	droppedEarly uint64
 }
 
 type countedWindow struct {
@@ -35,7 +37,7 @@
 	w := c.windows[window]
 	if w == nil {
 		if len(c.windows) >= heldWindows {
-			c.dropStalest()
+			c.dropStalest(window)
 		}
 		w = &countedWindow{entries: map[string]countedEntry{}}
 		c.windows[window] = w
@@ -44,8 +46,8 @@
 	w.entries[workspace] = countedEntry{w.entries[workspace].n + n, c.version}
 }
 
-// dropStalest drops the window that has not changed for longest.
-func (c *Counter) dropStalest() {
+// dropStalest drops the window that has not changed for longest, in favour of another.
+func (c *Counter) dropStalest(added Window) {
 	var stalest Window
 	var found *countedWindow
 	for window, w := range c.windows {
@@ -55,6 +57,9 @@
 	}
 	for _, e := range found.entries {
 		c.dropped += e.n
+		if stalest >= added-RetainedWindows {
+			c.droppedEarly += e.n
+		}
 	}
 	delete(c.windows, stalest)
 }
@@ -84,3 +89,7 @@
 // Dropped returns the number of requests in windows that are no longer held. Most of them
 // were reported long ago.
 func (c *Counter) Dropped() uint64 { return c.dropped }
+
+// DroppedEarly returns the number of requests in windows that were dropped although they were
+// not too old to be reported: they or others were counted while the clock was wrong.
+func (c *Counter) DroppedEarly() uint64 { return c.droppedEarly }
--- a/core/usage/counter_test.go
+++ b/core/usage/counter_test.go
@@ -51,6 +51,9 @@
 		Expect(counts).To(HaveKey(first + 99))
 		Expect(counts).To(HaveKey(first + 99 - usage.RetainedWindows))
 		Expect(c.Dropped()).To(Equal(uint64(2 * (100 - usage.RetainedWindows - 2))))
+		Expect(c.DroppedEarly()).To(BeZero(), "they are too old to be reported")
+		c.Add("a", at, 2)
+		Expect(c.DroppedEarly()).To(Equal(uint64(2)), "the clock was moved back")
 	})
 	It("keeps the present windows after its clock was far ahead", func() {
 		c := usage.NewCounter(windowLength)
--- a/pkg/gateway/usagecount.go
+++ b/pkg/gateway/usagecount.go
@@ -58,6 +58,14 @@
 	return c.clock.Peers(bootTime())
 }
 
+// dropped returns the number of requests whose counts were dropped before they were too old,
+// and of all that were dropped.
+func (c *usageCounter) dropped() (early, total uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counter.DroppedEarly(), c.counter.Dropped()
+}
+
 // usageAttempt is a statement that has been sent to a member or relayed to a peer. The zero
 // value is not counted.
 type usageAttempt struct {
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -47,6 +47,8 @@
 	// 0 if it is not.
 	heldSince time.Duration
 	listedAt  time.Duration
+	// obstacle is the reason for which the last listing was ignored, so that it is logged once.
+	obstacle  string
 	knownEra  uint64
 	datedEra  uint64        // the last era of which the ledger has been told since when it is known
 	checkedAt time.Duration // when the last confirmation of the lease was asked
@@ -158,15 +160,38 @@
 	}
 	h.post(ctx, func(now usage.Time) {
 		h.takingOver = false
-		if err != nil || tenure != h.tenure || !h.isHolder(duty) || duty.Token.Era() != h.knownEra || h.datedEra != h.knownEra {
+		if err != nil {
 			return
 		}
+		if reason := h.takeoverObstacle(tenure, duty); reason != "" {
+			if reason != h.obstacle {
+				h.gw.log.WithFields(logrus.Fields{"event": "usage-holder", "reason": reason, "token": duty.Token, "holder": duty.Holder}).Info("this instance does not take over the usage reports")
+			}
+			h.obstacle = reason
+			return
+		}
+		h.obstacle = ""
 		h.holding, h.checked, h.checkedAt = true, duty, asked
 		h.ledger.TookOver(now, fixed, undecodable.Windows)
 		h.gw.log.WithFields(logrus.Fields{"event": "usage-holder", "token": duty.Token, "fixed": len(fixed)}).Info("this instance sends the usage reports")
 	})
 }
 
+// takeoverObstacle returns why a listing does not make this process the holder, or "".
+func (h *usageHolder) takeoverObstacle(tenure uint64, duty Duty) string {
+	switch {
+	case !h.isHolder(duty):
+		return "other-holder"
+	case duty.Token.Era() != h.knownEra:
+		return "other-era"
+	case tenure != h.tenure:
+		return "lease-changed"
+	case h.datedEra != h.knownEra:
+		return "clock-not-compared"
+	}
+	return ""
+}
+
 // errClockNotCompared means that the clock was not compared with enough other instances.
 var errClockNotCompared = errors.New("the clock was not compared with enough instances")
 
--- a/pkg/gateway/usagesend.go
+++ b/pkg/gateway/usagesend.go
@@ -43,6 +43,8 @@
 
 	mu           sync.Mutex
 	destinations map[string]*usageDestination // guarded by mu
+	// droppedLogged is the number of dropped requests at the last log line. Only run uses it.
+	droppedLogged uint64
 }
 
 func newUsageSender(g *Gateway) *usageSender {
@@ -66,6 +68,7 @@
 // sendDue sends to each gatherer to which a message is due.
 func (u *usageSender) sendDue(ctx context.Context) {
 	counter := u.gw.usageCounter
+	u.logDropped()
 	now := counter.now()
 	ended := usage.WindowAt(now.True, counter.window) - 1
 	sinceEnd := now.True - ended.End(counter.window)
@@ -92,6 +95,16 @@
 	}
 }
 
+// logDropped logs that counts were dropped before their window was too old to be reported.
+// Older ones are dropped at each new window.
+func (u *usageSender) logDropped() {
+	early, total := u.gw.usageCounter.dropped()
+	if early > u.droppedLogged {
+		u.droppedLogged = early
+		u.gw.log.WithFields(logrus.Fields{"event": "usage-dropped", "requests": early, "total": total}).Error("usage counts dropped before they were too old to be reported")
+	}
+}
+
 // send sends the changed counts to a gatherer, if there are any or a window has ended.
 func (u *usageSender) send(ctx context.Context, id string) {
 	u.mu.Lock()
