--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -65,12 +65,18 @@
 
 // String describes the requirements for the log.
 func (u UsageReports) String() string {
-	if !u.enabled() {
-		return "off"
-	}
 	return fmt.Sprintf("window %s, lateness %s, tolerance %g", u.Window, u.Lateness, u.Tolerance)
 }
 
+// startFields returns the fields of the log line at the start.
+func (g *Gateway) startFields() logrus.Fields {
+	fields := logrus.Fields{"event": "start", "started": g.started}
+	if g.cfg.UsageReports.enabled() {
+		fields["usageReports"] = g.cfg.UsageReports.String()
+	}
+	return fields
+}
+
 // configLeaseMargin is subtracted from the revocation bound to allow for the
 // time between the last authorization and sending the statement to the member.
 const configLeaseMargin = 250 * time.Millisecond
@@ -168,7 +174,7 @@
 		g.spawn(func() { newUsageHolder(g).run(workCtx) })
 	}
 	go g.acceptClients(workCtx, failed)
-	g.log.WithFields(logrus.Fields{"event": "start", "started": g.started, "usageReports": g.cfg.UsageReports.String()}).Info("instance started")
+	g.log.WithFields(g.startFields()).Info("instance started")
 	var err error
 	select {
 	case err = <-failed:
--- a/pkg/gateway/usagelog_test.go
+++ b/pkg/gateway/usagelog_test.go
@@ -63,3 +63,12 @@
 	gw.usageSender.sendDue(context.Background())
 	g.Expect(logged(hook, "usage-dropped")).To(Equal(1))
 }
+
+// Deployments that expect no reports must see no difference, also in the log.
+func TestUsageReportsAreInTheStartLineOnlyIfEnabled(t *testing.T) {
+	g := NewWithT(t)
+	gw := newUsageSource(t, 0)
+	g.Expect(gw.startFields()).To(HaveKeyWithValue("usageReports", "window 1s, lateness 5s, tolerance 0.05"))
+	gw.cfg.UsageReports = UsageReports{}
+	g.Expect(gw.startFields()).NotTo(HaveKey("usageReports"))
+}
