Limit usage windows to the length that gatherers retain

Gatherers keep counts for 26 windows of 5 s, but the settings allowed windows of up to 1 h, whose counts would have been forgotten before they were reported. The test was seen failing without the change; the expected message of the former limit is replaced by the new one.

--- a/core/usage/gatherer.go
+++ b/core/usage/gatherer.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// Retention is how long a gatherer keeps counts that no longer change. It covers the
-// retained windows of the length that the platform uses (5 s), and two more.
-const Retention = heldWindows * 5 * time.Second
+const (
+	// MaxWindowLength is the largest length of a window. It is the one that the platform uses.
+	MaxWindowLength = 5 * time.Second
+	// Retention is how long a gatherer keeps counts that no longer change. It covers the
+	// retained windows of the largest length, and two more.
+	Retention = heldWindows * MaxWindowLength
+)
 
 // Gatherer holds the counts of the sources of an availability zone. Counts are cumulative
 // for each source, window and workspace and are merged by maximum, so that repeated, late
--- a/pkg/config/gate.go
+++ b/pkg/config/gate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrysill/mulberrysill/core/usage"
 )
 
 // Defaults of the gateway's settings.
@@ -20,8 +22,9 @@
 	maxLimitWindow = time.Hour
 	maxLimitSlack  = 1_000_000
 	// minUsageWindow and maxUsageWindow bound usageReports.window. Counts are sent once a
-	// second, so that shorter windows would end before their counts have been sent.
-	minUsageWindow, maxUsageWindow = time.Second, time.Hour
+	// second, so that shorter windows would end before their counts have been sent. Of longer
+	// ones gatherers would forget counts that may still have to be reported.
+	minUsageWindow, maxUsageWindow = time.Second, usage.MaxWindowLength
 	// minUsageLateness allows for asking the gatherers until 3.5 s after the end of a window,
 	// and for two responses of the store and the platform. maxUsageLateness is a day.
 	minUsageLateness, maxUsageLateness = 5 * time.Second, 24 * time.Hour
--- a/pkg/config/gate_test.go
+++ b/pkg/config/gate_test.go
@@ -44,9 +44,12 @@
 	g.Expect(s.UsageReports).To(Equal(config.UsageReports{Window: config.Duration(5 * time.Second), Lateness: config.Duration(10 * time.Second), Tolerance: 0.05}))
 	_, err = config.ParseGate("gate.yaml", []byte(gateSettings+"usageReports: { window: 10ms, lateness: 1s, tolerance: 2 }\n"))
 	g.Expect(err).To(MatchError(And(
-		ContainSubstring("usageReports.window: must be 0, or whole milliseconds between 1s and 1h0m0s"),
+		ContainSubstring("usageReports.window: must be 0, or whole milliseconds between 1s and 5s"),
 		ContainSubstring("usageReports.lateness: must be between 5s and 24h0m0s"), ContainSubstring("usageReports.tolerance: must be between 0 and 1"),
 	)))
+	// Gatherers would forget counts of longer windows before those are given up.
+	_, err = config.ParseGate("gate.yaml", []byte(gateSettings+"usageReports: { window: 5001ms, lateness: 10s, tolerance: 0.05 }\n"))
+	g.Expect(err).To(MatchError(ContainSubstring("usageReports.window: must be 0, or whole milliseconds between 1s and 5s")))
 }
 
 // All invalid fields are reported at once with their lines.
