--- a/core/usage/action.go
+++ b/core/usage/action.go
@@ -21,8 +21,8 @@
 	// GiveUp says that nothing will be sent for the windows Action.Window to Action.Last. It
 	// has no answer.
 	GiveUp
-	// ReadLease asks to read the promotion lease's row and, if it still names this process,
-	// to claim it again. Answers: LeaseKept, LeaseLost or LeaseReadFailed.
+	// ReadLease asks to read the promotion lease's row and to claim it again if it still has
+	// the token that the platform has refused. Answers: LeaseKept, LeaseLost or LeaseReadFailed.
 	ReadLease
 )
 
@@ -47,9 +47,11 @@
 	Contradiction
 	// TooLarge means that the report does not fit into one transaction.
 	TooLarge
+	// Undecodable means that the store's rows of the window cannot be decoded.
+	Undecodable
 )
 
-var reasonNames = [...]string{"nothing-known", "too-old", "former-era", "contradiction", "too-large"}
+var reasonNames = [...]string{"nothing-known", "too-old", "former-era", "contradiction", "too-large", "undecodable"}
 
 // String returns the name of the reason in log lines.
 func (r Reason) String() string { return reasonNames[r] }
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -17,8 +17,9 @@
 	gatherRetryInterval = 700 * time.Millisecond
 	gatherTimeout       = 3500 * time.Millisecond
 	// minEmptyGathers is the number of times that the holder asks for a window of which
-	// nothing is known while live instances are missing. A single failure of the network
-	// must not lose a window that is already late.
+	// nothing is known while instances that are heard of are missing. A single failure of
+	// the network must not lose a window that is already late. Instances that are not heard
+	// of are asked for once: a new holder may have RetainedWindows empty windows to pass.
 	minEmptyGathers = 4
 	// resendWindows is the number of past windows whose fixed reports a new holder sends
 	// again.
@@ -57,6 +58,9 @@
 	known map[Window]*knownReport
 	// givenUp holds the windows for which nothing will be sent.
 	givenUp map[Window]bool
+	// undecodable holds the windows that are to be given up because their rows cannot be
+	// decoded. No report of them can be fixed.
+	undecodable []Window
 	// rows is the number of rows in the store for each window.
 	rows map[Window]int
 	// floor is the lowest window that is built. Rows of lower ones may have been deleted.
@@ -173,6 +177,14 @@
 	}
 	l.current = w
 	maps.DeleteFunc(l.givenUp, func(given Window, _ bool) bool { return given < l.oldest() && given < l.next })
+	for len(l.undecodable) > 0 {
+		given := l.undecodable[0]
+		l.undecodable = l.undecodable[1:]
+		if l.known[given] != nil || given >= l.oldest() && !l.givenUp[given] {
+			l.giveUp(given)
+			return Action{Kind: GiveUp, Window: given, Last: given, Reason: Undecodable}, true
+		}
+	}
 	for l.next < l.oldest() {
 		if l.isDone(l.next) {
 			l.next++
@@ -263,7 +275,8 @@
 	if b.ready {
 		return l.fixReport(now, Report{w, b.best.Counts}, b.best)
 	}
-	if b.asked > 0 && b.best.Counts.Total() == 0 && (b.best.Missing == 0 || b.asked >= minEmptyGathers && now.True >= w.End(l.length)+l.lateness) {
+	isAskedEnough := b.best.Missing == b.best.Silent || b.asked >= minEmptyGathers
+	if b.asked > 0 && b.best.Counts.Total() == 0 && (b.best.Missing == 0 || isAskedEnough && now.True >= w.End(l.length)+l.lateness) {
 		g := b.best
 		l.giveUp(w)
 		return Action{Kind: GiveUp, Window: w, Last: w, Reason: NothingKnown, Gathered: g}, 0
--- a/pkg/gateway/usagegather.go
+++ b/pkg/gateway/usagegather.go
@@ -59,7 +59,11 @@
 	for _, w := range r.Windows {
 		counts[usage.Window(w.Window)] = decodeUsageCounts(w.Counts)
 	}
-	gatherer.merge(usage.Source{Instance: r.Source, Started: r.Started}, counts, usage.Window(r.Through))
+	through := usage.Window(r.Through)
+	if r.ReceiverStarted != 0 && r.ReceiverStarted != ps.gw.started {
+		through = usage.NoWindow // a former process of this instance has acknowledged the rest
+	}
+	gatherer.merge(usage.Source{Instance: r.Source, Started: r.Started}, counts, through)
 	if r.RoundTripUs > 0 {
 		counter.observeClock(r.Source, time.Duration(r.ClockUs+r.RoundTripUs-now)*time.Microsecond, time.Duration(r.RoundTripUs)*time.Microsecond)
 	}
@@ -105,18 +109,23 @@
 	return sum
 }
 
-// usageSources returns the processes that live and count.
-func (ps *peers) usageSources() []usage.Source {
+// usageSources returns the processes that count, this one included: those that are heard of,
+// and silent ones that have neither left nor been forgotten.
+func (ps *peers) usageSources() (live, silent []usage.Source) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := time.Now()
-	out := []usage.Source{ps.gw.usageSource()}
+	live = []usage.Source{ps.gw.usageSource()}
 	for _, p := range ps.byID {
-		if p.alive(now) {
-			out = append(out, usage.Source{Instance: p.ID, Started: p.Started})
+		source := usage.Source{Instance: p.ID, Started: p.Started}
+		switch {
+		case p.alive(now):
+			live = append(live, source)
+		case !p.leaving:
+			silent = append(silent, source)
 		}
 	}
-	return out
+	return live, silent
 }
 
 // collectUsage asks the gatherers of all zones for the sums of a window, and returns the
--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -41,6 +41,7 @@
 	reads  int                                 // guarded by mu
 	claims int                                 // guarded by mu
 	lists  int                                 // guarded by mu
+	broken error                               // guarded by mu: returned with the fixed reports
 	before func(holder string) error           // guarded by mu: before a transaction; an error prevents it
 	after  func(holder string) error           // guarded by mu: after a transaction
 	answer func(holder string, call int) error // guarded by mu: the answer to a call
@@ -104,7 +105,7 @@
 	for _, r := range p.rows {
 		out = append(out, r)
 	}
-	return out, nil
+	return out, p.broken
 }
 
 func (p *usagePlatform) ReportUsage(_ context.Context, duty Duty, report usage.Report) error {
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/usage"
 )
 
@@ -20,7 +22,8 @@
 	usageCheckAge = 200 * time.Millisecond
 	// usageTakeoverDelay is how long a claim must have been held before the new holder sends
 	// reports. A former holder that confirmed its lease just before the claim may send for
-	// usageCheckAge, and its call takes a while to arrive.
+	// usageCheckAge, and its call takes a while to arrive. Promotions do not wait; see
+	// docs/PROMISES.md.
 	usageTakeoverDelay = time.Second
 	// usageCallTimeout bounds one call to the platform. A call without an answer is repeated.
 	usageCallTimeout = time.Second
@@ -42,11 +45,16 @@
 	tenure              uint64
 	// heldSince is when this process was first seen as the holder, on the clock of bootTime;
 	// 0 if it is not.
-	heldSince  time.Duration
-	listedAt   time.Duration
-	knownEra   uint64
-	checkedAt  time.Duration // when the last confirmation of the lease was asked
-	checked    Duty          // the lease that was confirmed
+	heldSince time.Duration
+	listedAt  time.Duration
+	// obstacle is the reason for which the last listing was ignored, so that it is logged once.
+	obstacle  string
+	knownEra  uint64
+	datedEra  uint64        // the last era of which the ledger has been told since when it is known
+	checkedAt time.Duration // when the last confirmation of the lease was asked
+	checked   Duty          // the lease that was confirmed
+	// refused is the token that the platform has refused, until the lease was read; 0 if none.
+	refused    revision.Revision
 	gathered   map[usage.Window]usage.Gathered
 	lateLogged usage.Window
 	// oldest is the oldest window that has not been accepted, and oldestSince since when it
@@ -102,7 +110,13 @@
 			h.holding, h.knownEra = false, era
 			h.tenure++
 		}
-		h.ledger.EraChanged(era, now.True-age)
+		// The ledger keeps the earliest time that it is told, so that a wrong clock must not
+		// date the era. Until then all windows count as ended before it.
+		since := time.Duration(math.MaxInt64)
+		if h.gw.clockIsCompared() {
+			since, h.datedEra = now.True-age, era
+		}
+		h.ledger.EraChanged(era, since)
 	}
 	duty, _, _ := h.gw.peers.dutyHolder()
 	if !h.gw.controller.mayAct() || duty.Token.Era() != h.knownEra {
@@ -131,8 +145,9 @@
 	if err == nil {
 		fixed, err = h.gw.cfg.UsageStore.FixedUsage(callCtx)
 	}
-	if err != nil && len(fixed) > 0 {
-		// Windows whose rows cannot be decoded are not reported: their rows are in the way.
+	undecodable := new(usage.UndecodableError)
+	if errors.As(err, &undecodable) {
+		// No report of these windows can be fixed, because their rows are in the way.
 		h.gw.log.WithField("event", "usage-rows").WithError(err).Error("some fixed usage reports cannot be read")
 		err = nil
 	}
@@ -145,15 +160,38 @@
 	}
 	h.post(ctx, func(now usage.Time) {
 		h.takingOver = false
-		if err != nil || tenure != h.tenure || !h.isHolder(duty) || duty.Token.Era() != h.knownEra {
+		if err != nil {
+			return
+		}
+		if reason := h.takeoverObstacle(tenure, duty); reason != "" {
+			if reason != h.obstacle {
+				h.gw.log.WithFields(logrus.Fields{"event": "usage-holder", "reason": reason, "token": duty.Token, "holder": duty.Holder}).Info("this instance does not take over the usage reports")
+			}
+			h.obstacle = reason
 			return
 		}
+		h.obstacle = ""
 		h.holding, h.checked, h.checkedAt = true, duty, asked
-		h.ledger.TookOver(now, fixed)
+		h.ledger.TookOver(now, fixed, undecodable.Windows)
 		h.gw.log.WithFields(logrus.Fields{"event": "usage-holder", "token": duty.Token, "fixed": len(fixed)}).Info("this instance sends the usage reports")
 	})
 }
 
+// takeoverObstacle returns why a listing does not make this process the holder, or "".
+func (h *usageHolder) takeoverObstacle(tenure uint64, duty Duty) string {
+	switch {
+	case !h.isHolder(duty):
+		return "other-holder"
+	case duty.Token.Era() != h.knownEra:
+		return "other-era"
+	case tenure != h.tenure:
+		return "lease-changed"
+	case h.datedEra != h.knownEra:
+		return "clock-not-compared"
+	}
+	return ""
+}
+
 // errClockNotCompared means that the clock was not compared with enough other instances.
 var errClockNotCompared = errors.New("the clock was not compared with enough instances")
 
@@ -161,17 +199,24 @@
 // others, or with all if there are fewer. The rule for restorations compares the end of a
 // window with the time at which the era became known; see docs/design/usage.md.
 func (h *usageHolder) compareClocks(ctx context.Context) error {
-	needed := min(minComparedClocks, len(h.gw.peers.usageSources())-1)
-	if h.gw.usageCounter.comparedClocks() >= needed {
+	if h.gw.clockIsCompared() {
 		return nil
 	}
 	h.gw.peers.collectUsage(ctx, usage.WindowAt(h.now().True, h.gw.cfg.UsageReports.Window)-1)
-	if h.gw.usageCounter.comparedClocks() >= needed {
+	if h.gw.clockIsCompared() {
 		return nil
 	}
 	return errClockNotCompared
 }
 
+// clockIsCompared reports whether this instance's clock is corrected by those of enough
+// others at this moment. Offsets expire, so that a comparison does not hold for ever. Others
+// that are not heard of count until they are forgotten: this instance may be cut off.
+func (g *Gateway) clockIsCompared() bool {
+	live, silent := g.peers.usageSources()
+	return g.usageCounter.comparedClocks() >= min(minComparedClocks, len(live)+len(silent)-1)
+}
+
 // minComparedClocks is the number of other instances whose clocks outvote that of this one.
 const minComparedClocks = 2
 
@@ -180,14 +225,21 @@
 	return d.Holder == h.gw.cfg.ID && d.Started == h.gw.started && !d.IsVoid()
 }
 
+// isCurrentClaim reports whether the claim is the newest one that this process knows and its
+// own.
+func (ps *peers) isCurrentClaim(d Duty) bool {
+	current, self, _ := ps.dutyHolder()
+	return self && current.Token == d.Token
+}
+
 // act starts the due actions.
 func (h *usageHolder) act(ctx context.Context) {
 	if !h.holding {
 		return
 	}
 	duty, self, _ := h.gw.peers.dutyHolder()
-	if !self {
-		return // observeLease will find out
+	if !self || duty.Token.Era() != h.knownEra || !h.gw.controller.mayAct() {
+		return // the lease or the era has changed since observeLease, which will find out
 	}
 	for {
 		now := h.now()
@@ -206,7 +258,7 @@
 		case usage.GiveUp:
 			h.logGivenUp(a)
 		case usage.ReadLease:
-			go h.readLease(ctx, a)
+			go h.readLease(ctx, a, h.refused)
 		}
 	}
 }
@@ -214,7 +266,8 @@
 // gather asks the gatherers of all zones for the sums of a window.
 func (h *usageHolder) gather(ctx context.Context, a usage.Action) {
 	sums := h.gw.peers.collectUsage(ctx, a.Window)
-	gathered := usage.Combine(sums, h.gw.peers.usageSources())
+	live, silent := h.gw.peers.usageSources()
+	gathered := usage.Combine(sums, live, silent)
 	h.post(ctx, func(now usage.Time) { h.ledger.Gathered(a.ID, now, gathered) })
 }
 
@@ -264,7 +317,7 @@
 	}
 	switch {
 	case err != nil:
-	case !h.isHolder(checked) || checked.Token != duty.Token || bootTime()-checkedAt >= usageCheckAge:
+	case !h.isHolder(checked) || checked.Token != duty.Token || !h.gw.peers.isCurrentClaim(duty) || bootTime()-checkedAt >= usageCheckAge:
 		err = errLeaseNotConfirmed
 	default:
 		sendCtx, cancel := context.WithTimeout(ctx, usageCallTimeout)
@@ -281,6 +334,7 @@
 		case errors.Is(err, ErrFenced):
 			h.logOutcome("usage-refused", a, logrus.Fields{"by": "platform", "token": duty.Token}).WithError(err).Warn("report refused; reading the promotion lease")
 			h.stats.count("fenced")
+			h.refused = duty.Token
 			h.ledger.Fenced(a.ID)
 		default:
 			errors.As(err, &refused)
@@ -295,14 +349,15 @@
 	})
 }
 
-// readLease reads the promotion lease after a rejected token, and claims it again if it
-// still names this process.
-func (h *usageHolder) readLease(ctx context.Context, a usage.Action) {
+// readLease reads the promotion lease after a rejected token. It claims the lease again only
+// if that still has the token that the platform has refused. If a promotion of this process
+// has renewed the claim meanwhile, the renewed one is used.
+func (h *usageHolder) readLease(ctx context.Context, a usage.Action, refused revision.Revision) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	duty, err := h.gw.controller.readDuty(callCtx)
 	kept := err == nil && h.isHolder(duty)
-	if kept {
+	if kept && duty.Token == refused {
 		var claimed Duty
 		if claimed, err = h.gw.cfg.Store.ClaimDuty(callCtx, duty, h.gw.cfg.ID, h.gw.started); err == nil {
 			h.gw.peers.updateDuty(claimed)
@@ -316,10 +371,11 @@
 		case err != nil:
 			h.ledger.LeaseReadFailed(a.ID, now)
 		case kept:
+			h.refused = 0
 			h.ledger.LeaseKept(a.ID)
 		default:
+			h.refused, h.holding = 0, false
 			h.ledger.LeaseLost()
-			h.holding = false
 		}
 	})
 }
