--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -19,6 +19,8 @@
 	// nearLimitFraction is the fraction of the burst below which reports should be
 	// more frequent.
 	nearLimitFraction = 0.6
+	// nearLimitDemand is the fraction of the rate from which the demand is close to it.
+	nearLimitDemand = 0.9
 	// demandTimeConstant is the time constant of the demand estimate. It spans
 	// several reports, so that one burst of arrivals does not shift the shares.
 	demandTimeConstant = time.Second
@@ -191,8 +193,13 @@
 	arrivals          float64
 	demandUpdatedAt   time.Time
 	admitted          uint64
-	peers             map[string]*peer
-	totals            totals
+	// refused counts the refused operations, and charged those that were taken from the
+	// bucket because other instances had reported them, the last time at chargedAt.
+	refused   uint64
+	charged   float64
+	chargedAt time.Time
+	peers     map[string]*peer
+	totals    totals
 	// admittedByPeers is the sum of admittedSinceFirst over all peers, former ones
 	// included, and admittedInSection the part of those that report for themselves.
 	admittedByPeers, admittedInSection uint64
@@ -258,6 +265,7 @@
 	case l.grant > 0 && l.level >= 1:
 		l.grant--
 	default:
+		l.refused++
 		return false, l.retryAfter(share)
 	}
 	l.periodAdmitted++
@@ -318,6 +326,7 @@
 			operations = l.lateCharge(p, operations)
 		}
 		l.charge(operations)
+		l.charged, l.chargedAt = l.charged+operations, now
 	}
 	if r.isAggregate() {
 		l.collectors[r.Section] = from
@@ -493,12 +502,38 @@
 	// Share is this instance's share of the refill, from 0 to 1.
 	Share     float64
 	Instances int
+	// Demand is the estimated demand at all instances, in operations per second.
+	Demand float64
+	Limit  Limit
+	// Admitted and Refused count the operations of this instance since the limiter was
+	// created, and Charged those of other instances that it has learned of and charged.
+	Admitted, Refused uint64
+	Charged           float64
+	// ChargedAge is the time since the last report that was charged, or since the limiter
+	// was created.
+	ChargedAge time.Duration
+}
+
+// IsNearLimit reports whether the bucket or the demand is close to the limit.
+func (s State) IsNearLimit() bool {
+	return s.Level < nearLimitFraction*s.Limit.Burst || s.Demand >= nearLimitDemand*s.Limit.Rate
 }
 
 // State returns the present state.
 func (l *Limiter) State(now time.Time) State {
 	l.advance(now)
-	return State{Level: l.level, Credit: l.credit, Share: l.share(now), Instances: l.instances}
+	share, chargedAt := l.share(now), l.chargedAt
+	if chargedAt.IsZero() {
+		chargedAt = l.startedAt
+	}
+	s := State{
+		Level: l.level, Credit: l.credit, Share: share, Instances: l.instances, Limit: l.limit,
+		Admitted: l.admitted, Refused: l.refused, Charged: l.charged, ChargedAge: now.Sub(chargedAt),
+	}
+	if share > 0 {
+		s.Demand = l.demand / share
+	}
+	return s
 }
 
 // Level returns the estimated tokens in the common bucket.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -32,6 +32,10 @@
 		case <-ticker.C:
 		}
 		ps.exchangeDue(ctx)
+		if now := time.Now(); now.Sub(ps.limitsLogged) >= limitLogInterval {
+			ps.limitsLogged = now
+			ps.gw.logLimits()
+		}
 	}
 }
 
--- a/pkg/gateway/exchange_test.go
+++ b/pkg/gateway/exchange_test.go
@@ -27,7 +27,7 @@
 	for i := range 76 {
 		workspaces = append(workspaces, catalog.Workspace{Name: fmt.Sprintf("workspace-%d", i), Rate: 25, Burst: 25})
 	}
-	gw.limits.configure(workspaces)
+	gw.limits.configure(workspaces, 1)
 	var asker *pb.State
 	for _, i := range fleet {
 		if i.ID == collector {
@@ -108,7 +108,7 @@
 	for _, e := range entries {
 		gw := New(Config{ID: e.Key, Zone: e.Value.Zone, PeerAddress: e.Value.PeerAddress, Capacity: e.Value.Capacity, FirstStart: true, Log: logrus.NewEntry(log)})
 		gw.started = 1
-		gw.limits.configure([]catalog.Workspace{{Name: "w", Rate: 0.001, Burst: 1000}})
+		gw.limits.configure([]catalog.Workspace{{Name: "w", Rate: 0.001, Burst: 1000}}, 1)
 		gw.peers.applyListing(entries)
 		out = append(out, gw.peers)
 	}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -31,20 +31,25 @@
 	grants map[string]float64
 	// instances is the number of live instances.
 	instances int
+	// version is the version of the configuration that holds the limits, and logged holds
+	// each workspace's state at the last call of activeNearLimit.
+	version uint64
+	logged  map[string]quota.State
 }
 
 func newLimits(firstStart bool, tolerance quota.Tolerance) *limits {
-	l := &limits{limiters: map[string]*quota.Limiter{}, grants: map[string]float64{}, tolerance: tolerance}
+	l := &limits{limiters: map[string]*quota.Limiter{}, grants: map[string]float64{}, logged: map[string]quota.State{}, tolerance: tolerance}
 	if firstStart {
 		l.initialLevel = 1
 	}
 	return l
 }
 
-// configure applies the workspaces of a configuration.
-func (l *limits) configure(workspaces []catalog.Workspace) {
+// configure applies the workspaces of a version of the configuration.
+func (l *limits) configure(workspaces []catalog.Workspace, version uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.version = version
 	now := time.Now()
 	names := make(map[string]bool, len(workspaces))
 	for i := range workspaces {
@@ -66,6 +71,7 @@
 	for name := range l.limiters {
 		if !names[name] {
 			delete(l.grants, name)
+			delete(l.logged, name)
 			delete(l.limiters, name)
 		}
 	}
--- a/pkg/gateway/memberset_test.go
+++ b/pkg/gateway/memberset_test.go
@@ -223,7 +223,7 @@
 	for range 40 * instances {
 		l := newLimits(false, tolerance)
 		l.restartsWithTokens = true
-		l.configure(testWorkspaces)
+		l.configure(testWorkspaces, 1)
 		l.setInstances(instances, false)
 		l.divideGrants()
 		for range 5 {
@@ -236,7 +236,7 @@
 	tokens := tolerance.RestartLevel(stated) * tolerance.Widen(stated).Burst
 	g.Expect(float64(total) / 40).To(BeNumerically("~", tokens, tokens/3))
 	served := newLimits(false, tolerance)
-	served.configure(testWorkspaces)
+	served.configure(testWorkspaces, 1)
 	served.setInstances(instances, false)
 	served.divideGrants()
 	ok, _, _ := served.admit("w")
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -91,10 +91,10 @@
 	// guarded by mu.
 	periodStarted, nearPeriodStarted time.Time
 	// lastInterrupt is when the operators' poll was last interrupted, and
-	// lastCollector the collector of this instance's zone at the last check. Only
-	// run uses them.
-	lastInterrupt time.Time
-	lastCollector string
+	// lastCollector the collector of this instance's zone at the last check. limitsLogged is
+	// when the use of limits was last logged. Only run uses them.
+	lastInterrupt, limitsLogged time.Time
+	lastCollector               string
 	// preferredAskedAt is when the last instance that ranks before the collector was
 	// asked, and preferredTurn counts them. Only run uses them.
 	preferredAskedAt time.Time
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -408,7 +408,7 @@
 }
 
 func (g *Gateway) noteInstalled(c *configuration) {
-	g.limits.configure(c.catalog.Workspaces())
+	g.limits.configure(c.catalog.Workspaces(), c.Version())
 	g.controller.enqueue(func() { g.controller.updatePools() })
 	g.log.WithFields(logrus.Fields{
 		"event": "configuration", "version": c.Version(), "era": c.Revision.Era(), "revision": c.Revision.Version(), "zonesOut": len(c.ZonesOut), "zonesHeld": len(c.HeldZones),
