--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -105,10 +105,14 @@
 
 // maxAdmittedInWindow returns the largest number of operations admitted in any
 // window.
-func (f *fleet) maxAdmittedInWindow() int {
+func (f *fleet) maxAdmittedInWindow() int { return mostInWindow(f.admitted) }
+
+// mostInWindow returns the largest number of the times, which are in order, within any
+// window.
+func mostInWindow(times []time.Time) int {
 	most, first := 0, 0
-	for i, at := range f.admitted {
-		for at.Sub(f.admitted[first]) > limitWindow {
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
 			first++
 		}
 		most = max(most, i-first+1)
--- /dev/null
+++ b/core/quota/silence_test.go
@@ -0,0 +1,85 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/quota"
+)
+
+// ownerRates divides the total rate as in a large fleet: 20 instances own most of the
+// workspace's statements, and the rest is even.
+func ownerRates(n int, total float64) []float64 {
+	const owners, ownedShare = 20, 0.77
+	out := evenRates(n, total*(1-ownedShare))
+	for i := range owners {
+		out[(i*37+11)%n] += total * ownedShare / owners
+	}
+	return out
+}
+
+// When no exchange between instances got an answer for 5 s and the demand grew, each
+// instance took the bucket for full, and later itself for half of the fleet.
+func TestLimitHoldsWhileNoInstanceHearsAnother(t *testing.T) {
+	limit := quota.Limit{Rate: 284, Burst: 284}
+	for _, n := range []int{7, 68, 295} {
+		for seed := range uint64(3) {
+			f := newExchangingFleet(seed, min(6, n/2), n, limit)
+			f.run(5*time.Second, evenRates(n, 0))
+			f.run(2*time.Second, ownerRates(n, 310))
+			f.isSilent = true // statements are no longer relayed to their owners either
+			for _, demand := range []float64{360, 420, 480, 480, 480} {
+				f.run(time.Second, evenRates(n, demand))
+			}
+			f.isSilent = false
+			f.run(6*time.Second, ownerRates(n, 480))
+			NewWithT(t).Expect(f.admitted).NotTo(BeEmpty())
+			NewWithT(t).Expect(mostInWindow(f.admitted)).To(BeNumerically("<=", maxToleratedInWindow(limit)), "%d instances, seed %d", n, seed)
+		}
+	}
+}
+
+// Each change of a section's collector makes its first report the new baseline. When the
+// collectors changed again and again, little was charged, and the bucket stayed full.
+func TestLimitHoldsWhileCollectorsAlternate(t *testing.T) {
+	limit := quota.Limit{Rate: 284, Burst: 284}
+	for _, turn := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+		for seed := range uint64(3) {
+			const n = 295
+			f := newExchangingFleet(seed, 6, n, limit)
+			f.run(5*time.Second, evenRates(n, 0))
+			f.run(2*time.Second, ownerRates(n, 310))
+			f.turnEvery = turn
+			f.run(6*time.Second, ownerRates(n, 3*limit.Rate))
+			NewWithT(t).Expect(mostInWindow(f.admitted)).To(BeNumerically("<=", maxToleratedInWindow(limit)), "turns of %v, seed %d", turn, seed)
+		}
+	}
+}
+
+// What other instances had admitted during a silence of 5 s became a debt that refused
+// half of the operations of a workspace within its limit for the next 8 s.
+func TestDemandWithinTheLimitIsServedAfterSilence(t *testing.T) {
+	limit := quota.Limit{Rate: 284, Burst: 284}
+	for _, n := range []int{7, 68, 295} {
+		g := NewWithT(t)
+		demand := 0.6 * limit.Rate
+		f := newExchangingFleet(1, min(6, n/2), n, limit)
+		refusedIn5s := func() float64 {
+			f.refused = 0
+			f.run(5*time.Second, evenRates(n, demand))
+			return float64(f.refused) / (5 * demand)
+		}
+		f.run(5*time.Second, evenRates(n, 0))
+		refusedIn5s()
+		before := refusedIn5s()
+		f.isSilent = true
+		during := refusedIn5s()
+		f.isSilent = false
+		f.run(3*time.Second, evenRates(n, demand))
+		after := refusedIn5s()
+		t.Logf("%d instances: refused %.3f before, %.3f during, %.3f after the silence", n, before, during, after)
+		g.Expect(after).To(BeNumerically("<=", before+0.01), "%d instances", n)
+	}
+}
