--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -337,6 +337,9 @@
 			l.charge(min(float64(r.Admitted), r.Demand*age.Seconds()))
 		}
 	case l.reportedByCollector(from, p, r, now):
+		if r.isAggregate() && p.isAggregate && p.section == r.Section {
+			p.accountedAt = now
+		}
 	case r.Admitted <= p.admitted:
 		p.accountedAt = now
 	default:
