Refuse entries of members and instances that none of them can have written

Operators of similar systems saw machines end, or stop following the list, because of one odd entry among those of the members. Nothing ends here, and the other entries hold: deep nesting and numbers beyond a float were refused before.

Cause: an entry was taken if its fields had the right types. A port of 99999, a sequence of 1e300 (whose conversion differs between processors), 9e18 slots, or a key with a line break made a member. One such entry in a group blocked each change of its primary as long as it was listed, as a promotion waits for all listed replicas: no writes. A key with a line break would have put a second line into the stream to a member.

--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -114,6 +114,17 @@
 		d.store.RemoveMember("g1-0")
 		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).Should(Equal("g1-1"))
 	})
+	It("does not wait for members that only another writer's odd entries name", func() {
+		d := newDeployment(2, 10000)
+		d.store.PutMalformedRows()
+		w := startWriters(d)
+		Eventually(w.count, eventualTimeout, pollInterval).Should(BeNumerically(">", 20))
+		d.group.Primary().Kill()
+		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).ShouldNot(Equal("g1-0"))
+		before := w.count()
+		Eventually(w.count, eventualTimeout, pollInterval).Should(BeNumerically(">", before+20))
+		w.expectAcknowledgedKept(d)
+	})
 	It("leaves no replica paused and loses no commit when members leave while replicas receive nothing", func() {
 		d := newDeployment(2, 10000)
 		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
--- /dev/null
+++ b/pkg/gateway/validate.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"net/netip"
+	"strings"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxExactInteger bounds the numbers of entries: larger ones are not exact in JSON.
+	MaxExactInteger = 1 << 53
+	// maxSlots bounds the statements that a member runs concurrently.
+	maxSlots = 1 << 16
+	// maxCapacity bounds the processor share of an instance's machine, in cores.
+	maxCapacity = 1 << 16
+)
+
+// Validate reports why no member can have written the entry. A member that cannot be reached
+// is worse than none: the choice of a primary waits for its answer.
+func (m Member) Validate() error {
+	switch {
+	case !isName(m.ID):
+		return errors.Newf("member has the ID %q", m.ID)
+	case !isName(m.Group):
+		return errors.Newf("member %s has the group %q", m.ID, m.Group)
+	case m.Slots < 0 || m.Slots > maxSlots:
+		return errors.Newf("member %s has %d slots", m.ID, m.Slots)
+	case m.StartedMs < 0 || m.StartedMs > MaxExactInteger:
+		return errors.Newf("member %s has the start time %d", m.ID, m.StartedMs)
+	case m.Sequence > MaxExactInteger:
+		return errors.Newf("member %s has the sequence %d", m.ID, m.Sequence)
+	}
+	return errors.Wrapf(validateAddress(m.Address), "member %s", m.ID)
+}
+
+// Validate reports why no instance can have written the entry.
+func (i Instance) Validate() error {
+	switch {
+	case !isName(i.ID):
+		return errors.Newf("instance has the ID %q", i.ID)
+	case i.Started < 0 || i.Started > MaxExactInteger:
+		return errors.Newf("instance %s has the start time %d", i.ID, i.Started)
+	case i.Capacity < 0 || i.Capacity > maxCapacity:
+		return errors.Newf("instance %s has the capacity %g", i.ID, i.Capacity)
+	}
+	return errors.Wrapf(validateAddress(i.PeerAddress), "instance %s", i.ID)
+}
+
+// isName reports whether the text can be a field of a protocol whose fields are separated by
+// blanks and whose messages end with the line.
+func isName(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) })
+}
+
+// validateAddress accepts an IP address with a port that can be connected to. Names are not
+// looked up.
+func validateAddress(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	if a.Port() == 0 {
+		return errors.Newf("address %q has port 0", address)
+	}
+	return nil
+}
