Order entries of members by the revision of the store

Callers could have met a member that had been draining for long, or its former address, until the instance restarted.

Cause: an entry with a lower sequence than the known one of the same process was taken for an older one, which a restored store lists. An entry that another writer had left under the member's key, with a huge sequence, was never replaced by the member's own ones. Change: within one era of the store the revision of the row decides, across eras the sequence.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -182,6 +182,9 @@
 	}
 	entries := make([]membership.ListingChange[Member], len(changes))
 	for i := range changes {
+		if at := changes[i].Revision; at > 0 {
+			changes[i].Value.Revision = at
+		}
 		entries[i] = membership.ListingChange[Member]{Key: changes[i].Key, Value: changes[i].Value, Absent: changes[i].Removed || changes[i].Err != nil}
 	}
 	c.members.Apply(time.Now(), entries, complete)
--- a/pkg/gateway/controller_test.go
+++ b/pkg/gateway/controller_test.go
@@ -11,10 +11,11 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 )
 
 func listed(id string) Change[Member] {
-	return Change[Member]{Key: id, Value: Member{ID: id, Group: "g"}}
+	return Change[Member]{Key: id, Value: Member{ID: id, Group: "g", Address: "127.0.0.1:1"}}
 }
 func removed(id string) Change[Member] { return Change[Member]{Key: id, Removed: true} }
 
@@ -31,6 +32,24 @@
 	g.Expect(c.members.UnlistedSince()).To(HaveKey("m1"))
 }
 
+// Another writer left an entry with an absurd sequence under a member's key. The member's own
+// entries, that it is draining among them, were taken for older ones until the restart.
+func TestCorrectedEntryReplacesAnOddOne(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestInstance("a", nil).controller
+	entry := func(version, sequence uint64, draining bool) []Change[Member] {
+		return []Change[Member]{{
+			Key: "m1", Revision: revision.New(0, version),
+			Value: Member{ID: "m1", Group: "g", Address: "127.0.0.1:1", StartedMs: 5, Sequence: sequence, Draining: draining},
+		}}
+	}
+	c.applyMembers(entry(3, 1<<40, false), true, revision.New(0, 3))
+	c.applyMembers(entry(4, 8, true), false, revision.New(0, 4))
+	g.Expect(c.members.Entries()["m1"].Draining).To(BeTrue())
+	c.applyMembers(entry(3, 1<<40, false), true, 0)
+	g.Expect(c.members.Entries()["m1"].Draining).To(BeTrue(), "a late answer of the store is older")
+}
+
 // Calls that found the queue full were passed on by goroutines of their own, and changes
 // of a table were applied in another order than the store gave them.
 func TestControllerExecutesCallsInOrder(t *testing.T) {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -89,10 +89,16 @@
 	StartedMs int64
 	// Sequence counts the entries that the member has written since its start.
 	Sequence uint64
+	// Revision is that of the store at which the entry was written; 0 if unknown.
+	Revision revision.Revision
 }
 
-// isBefore reports whether the entry is an earlier one of the same process than other.
+// isBefore reports whether the entry is an earlier one of the same process than other. In one
+// era of the store the revisions tell: another writer may have left an absurd sequence.
 func (m Member) isBefore(other Member) bool {
+	if m.Revision > 0 && other.Revision > 0 && m.Revision.Era() == other.Revision.Era() {
+		return m.Revision < other.Revision
+	}
 	return m.StartedMs == other.StartedMs && m.StartedMs != 0 && m.Sequence < other.Sequence
 }
 
