Leave out single odd entries of a list that a peer passes on

Cause: the members fetched from a collector were decoded as one value and used unchecked. A number out of range made the whole list unreadable, and a collector of an older build passed odd entries on. Change: each entry is decoded and checked by itself; the others are used, and each that is left out is logged. Measured: TestFollowerLeavesOutOddEntriesOfAPeer failed before.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -125,18 +125,33 @@
 	if err != nil {
 		return // repeated at the next exchange
 	}
-	var members []Member
-	if err := json.Unmarshal(response.Entries, &members); err != nil {
+	changes, err := decodeMembers(response.Entries)
+	if err != nil {
 		ps.gw.log.WithFields(logrus.Fields{"event": "fetch-members", "peer": p.ID}).WithError(err).Warn("cannot decode the members of a peer")
 		return
 	}
-	changes := make([]Change[Member], len(members))
-	for i, m := range members {
-		changes[i] = Change[Member]{Key: m.ID, Value: m}
-	}
+	logUnreadable(ps.gw.log.WithField("peer", p.ID), changes)
 	ps.gw.controller.enqueue(func() { ps.gw.controller.applyFetchedMembers(changes, revision.Revision(response.Revision)) })
 }
 
+// decodeMembers decodes the list of members of a peer. Entries that cannot be decoded or that
+// no member can have written have an error, so that the rest of the list is used.
+func decodeMembers(data []byte) ([]Change[Member], error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(data, &entries); err != nil {
+		return nil, errors.Wrap(err, "members of a peer")
+	}
+	changes := make([]Change[Member], len(entries))
+	for i, entry := range entries {
+		c := &changes[i]
+		if c.Err = json.Unmarshal(entry, &c.Value); c.Err == nil {
+			c.Err = c.Value.Validate()
+		}
+		c.Key = c.Value.ID
+	}
+	return changes, nil
+}
+
 // followsCollector reports whether this instance learns of changes from a collector. After
 // the start, it gives the collector the time of one silence to answer.
 func (ps *peers) followsCollector() bool {
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -172,3 +172,22 @@
 	exchangeWithCollector(follower, collector)
 	g.Expect(follower.followsCollector()).To(BeFalse())
 }
+
+// A collector of an older build passes on what it has read. One odd entry made the follower
+// drop the whole list, or use the entry.
+func TestFollowerLeavesOutOddEntriesOfAPeer(t *testing.T) {
+	g := NewWithT(t)
+	collector, follower, _ := collectorAndFollower(t)
+	odd := listed("odd")
+	odd.Value.Address = "127.0.0.1:99999"
+	collector.gw.controller.applyMembers([]Change[Member]{listed("m1"), listed("m9"), odd}, true, revision.New(0, 9))
+	exchangeWithCollector(follower, collector)
+	g.Expect(follower.gw.memberList.Load().revision).To(Equal(revision.New(0, 9)))
+	g.Expect(follower.gw.controller.members.Entries()).To(And(HaveKey("m9"), Not(HaveKey("odd"))))
+
+	list := `[{"ID":"m1","Group":"g","Address":"127.0.0.1:1"},{"ID":"m10","Group":"g","Address":"127.0.0.1:1"},{"ID":"odd","Slots":1e30}]`
+	members, err := decodeMembers([]byte(list))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(members).To(HaveLen(3))
+	g.Expect(members[2].Err).To(HaveOccurred())
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -517,11 +517,7 @@
 		}
 	}
 	w.apply = func(batch Batch[Member], complete bool, _ time.Duration) {
-		for _, c := range batch.Changes {
-			if c.Err != nil {
-				g.log.WithFields(logrus.Fields{"event": "entry-unreadable", "key": c.Key}).WithError(c.Err).Warn("member's entry ignored")
-			}
-		}
+		logUnreadable(g.log, batch.Changes)
 		if complete || len(batch.Changes) > 0 {
 			g.controller.enqueue(func() { g.controller.applyMembers(batch.Changes, complete, batch.Revision) })
 		}
@@ -529,6 +525,15 @@
 	w.run(ctx)
 }
 
+// logUnreadable logs the entries of another writer that are passed over.
+func logUnreadable[T any](log *logrus.Entry, changes []Change[T]) {
+	for i := range changes {
+		if c := &changes[i]; c.Err != nil {
+			log.WithFields(logrus.Fields{"event": "entry-unreadable", "key": c.Key}).WithError(c.Err).Warn("entry ignored")
+		}
+	}
+}
+
 // register writes this instance's entry and reports whether that succeeded.
 func (g *Gateway) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
