Ignore listed instances that start in the future, and log entries that are left out

Cause: an entry under a live instance's key with a start time far ahead replaced what the others knew of it, and the states of the live process were taken for those of a former one: it counted as silent. Unreadable entries of instances were passed over without a line. Measured: TestListingIgnoresInstancesOfTheFuture failed before.

--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -191,3 +191,14 @@
 	g.Expect(members).To(HaveLen(3))
 	g.Expect(members[2].Err).To(HaveOccurred())
 }
+
+// An odd entry of a live instance, with a start time far ahead, made the others ignore the
+// states of that instance, which are of an earlier start.
+func TestListingIgnoresInstancesOfTheFuture(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(t, 3, 1)
+	ps, other := fleet[0], fleet[1].gw.cfg.ID
+	started := ps.byID[other].Started
+	ps.applyListing([]Change[Instance]{{Key: other, Value: Instance{ID: other, Zone: "z", PeerAddress: "127.0.0.1:1", Started: time.Now().Add(48 * time.Hour).UnixMilli()}}})
+	g.Expect(ps.byID[other].Started).To(Equal(started))
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -51,6 +51,8 @@
 	// silentZoneInterval is how long a collector asks the same instance of a zone of which
 	// it hears none.
 	silentZoneInterval = time.Second
+	// maxClockDifference is how far another instance's time of day may be ahead.
+	maxClockDifference = 24 * time.Hour
 	// peerTickInterval is the interval between checks for due exchanges.
 	peerTickInterval = 100 * time.Millisecond
 )
@@ -134,12 +136,19 @@
 
 // applyListing adds the instances listed by the store.
 func (ps *peers) applyListing(entries []Change[Instance]) {
+	logUnreadable(ps.gw.log, entries)
+	latestStart := time.Now().Add(maxClockDifference).UnixMilli()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, c := range entries {
 		if c.Err != nil || c.Value.ID != c.Key || c.Key == ps.gw.cfg.ID {
 			continue
 		}
+		if c.Value.Started > latestStart {
+			// The states of a live instance would be taken for those of a former process.
+			ps.gw.log.WithFields(logrus.Fields{"event": "entry-unreadable", "key": c.Key, "started": c.Value.Started}).Warn("entry of an instance that starts in the future ignored")
+			continue
+		}
 		if p := ps.byID[c.Key]; p != nil && p.Started > c.Value.Started && time.Since(p.lastHeard) < peerAliveTimeout {
 			continue // the entry of a former process, from a copy of the store
 		}
