Show with a failing test that demand starting far above a limit exceeds it

Cause: until the first reports have passed two collectors, each instance takes the others for idle, and its share of the bucket and of the refill for the whole.

--- a/core/quota/silence_test.go
+++ b/core/quota/silence_test.go
@@ -92,3 +92,17 @@
 	}
 	return 6
 }
+
+// Until the first reports of a sudden demand have passed two collectors, each instance takes
+// the others for idle. Several times the rate, from nothing, exceed the limit within a second.
+func TestLimitHoldsWhenDemandStartsFarAboveIt(t *testing.T) {
+	limit := quota.Limit{Rate: 284, Burst: 284}
+	for _, times := range []float64{3, 5} {
+		for _, n := range []int{7, 68, 295} {
+			f := newExchangingFleet(0, sectionsOf(n), n, limit)
+			f.run(5*time.Second, evenRates(n, 0))
+			f.run(8*time.Second, ownerRates(n, times*limit.Rate))
+			NewWithT(t).Expect(mostInWindow(f.admitted)).To(BeNumerically("<=", maxToleratedInWindow(limit)), "%d instances, %v times the rate", n, times)
+		}
+	}
+}
