Cover late reports only by refill of the same silence

Change: the refill withheld during a silence is kept by itself, with what a full bucket lost just before, as far as the known demand explains it; it ends 1.5 s after the silence. Measured: TestQuietTimeCoversNoLaterAdmissions failed before (level 100 instead of 10).

--- a/core/quota/detached.go
+++ b/core/quota/detached.go
@@ -30,19 +30,16 @@
 	overflowAt  float64
 	admittedAt  uint64
 	shareAt     float64
-	// overflowBefore is the overflow before the silence. Until lateUntil, reports may tell of
-	// operations admitted in it, also through collectors that are heard in time again.
-	overflowBefore float64
-	lateUntil      time.Time
+	// withheld is the refill that was left to the others. Until lateUntil, it covers what
+	// reports tell of, also those of collectors that are heard in time again.
+	withheld  float64
+	lateUntil time.Time
 }
 
 // noteAccounted records that a report has told what others admitted.
 func (l *Limiter) noteAccounted(now time.Time) {
 	s := &l.silence
 	s.accountedAt, s.overflowAt, s.admittedAt = now, l.overflow, l.admitted
-	if !now.Before(s.lateUntil) {
-		s.overflowBefore = l.overflow
-	}
 	if !l.detached {
 		s.shareAt = l.shareOfLive(now)
 	}
@@ -60,10 +57,13 @@
 	// admitted yet, or that its bucket is empty.
 	isStarting := now.Sub(l.startedAt) <= peerTimeout
 	l.detached = !isStarting && (l.isIsolated() || (1+l.coverage.instances)*2 <= l.known)
-	if l.detached || now.Sub(l.silence.accountedAt) > reportPeriod {
+	if l.detached {
 		l.silence.lateUntil = now.Add(maxReportAge)
 	}
 	if l.detached && !was {
+		// Refill that a full bucket lost covers what the others admitted before this instance
+		// was detached. What is left of a former silence must not add up.
+		l.silence.withheld = min(l.overflow-l.silence.overflowAt, l.likelyAdmitted(now))
 		// All credits together are worth what the bucket may hold, or owe its debt.
 		l.credit = min(l.credit, l.detachedShare(now)*l.levelAfterSilence(now))
 	}
@@ -73,9 +73,24 @@
 // since the last report. If this instance admitted more than the known demand lets expect,
 // the demand has probably grown at the others, too.
 func (l *Limiter) levelAfterSilence(now time.Time) float64 {
-	byDemand := l.totals.demand * now.Sub(l.silence.accountedAt).Seconds()
 	byOwn := float64(l.admitted-l.silence.admittedAt) * (1/max(l.silence.shareAt, minAssumedShare) - 1)
-	return min(l.level, l.level+l.overflow-l.silence.overflowAt-max(byDemand, byOwn))
+	return min(l.level, l.level+l.overflow-l.silence.overflowAt-max(l.likelyAdmitted(now), byOwn))
+}
+
+// likelyAdmitted returns what the others are likely to have admitted since the last report,
+// by their known demand.
+func (l *Limiter) likelyAdmitted(now time.Time) float64 {
+	return max(l.totals.demand, 0) * now.Sub(l.silence.accountedAt).Seconds()
+}
+
+// coverByWithheld returns how many of the reported operations the withheld refill covers.
+func (l *Limiter) coverByWithheld(operations float64) float64 {
+	if !l.refilledAt.Before(l.silence.lateUntil) {
+		l.silence.withheld = 0
+	}
+	covered := min(operations, l.silence.withheld)
+	l.silence.withheld -= covered
+	return covered
 }
 
 // isIsolated reports whether fewer than half of the known instances are live.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -180,7 +180,7 @@
 func New(limit Limit, level float64, now time.Time) *Limiter {
 	return &Limiter{
 		limit: limit, level: limit.Burst * level, periodLevel: limit.Burst * level,
-		startedAt: now, startedWithTokens: level > 0, refilledAt: now, demandUpdatedAt: now, peers: map[string]*peer{}, collectors: map[string]string{}, live: 1, known: 1,
+		startedAt: now, startedWithTokens: level > 0, refilledAt: now, demandUpdatedAt: now, peers: map[string]*peer{}, collectors: map[string]string{}, live: 1, known: 1, silence: silence{accountedAt: now},
 	}
 }
 
@@ -296,7 +296,8 @@
 		if !r.isAggregate() {
 			l.admittedInSection += r.Admitted - p.admitted
 		}
-		if now.Sub(p.lastReportAt) > peerTimeout || now.Before(l.silence.lateUntil) {
+		operations -= l.coverByWithheld(operations)
+		if now.Sub(p.lastReportAt) > peerTimeout {
 			operations = l.lateCharge(p, operations, now)
 		}
 		l.charge(operations)
@@ -394,16 +395,11 @@
 }
 
 // lateCharge returns how many of the operations to charge that a peer admitted while
-// its reports were missing: those in excess of the refill that was lost or withheld in the
-// meantime. If the reports were missing for longer than the window over which the platform
+// its reports were missing: those in excess of the refill that was lost in the meantime. If the reports were missing for longer than the window over which the platform
 // checks limits, it returns at most as many as leave a debt of one burst: refusing requests
 // now would not make up for the older ones.
 func (l *Limiter) lateCharge(p *peer, operations float64, now time.Time) float64 {
-	since := p.overflowAtReport
-	if now.Before(l.silence.lateUntil) {
-		since = min(since, l.silence.overflowBefore)
-	}
-	covered := min(operations, max(l.overflow-since, 0))
+	covered := min(operations, max(l.overflow-p.overflowAtReport, 0))
 	l.overflow -= covered
 	if now.Sub(p.lastReportAt) <= maxDebtSeconds*time.Second {
 		return operations - covered
@@ -496,14 +492,16 @@
 	l.updateDetached(now)
 	share, refill := l.share(now), dt*l.limit.Rate
 	creditCap := max(minCreditCap, share*reserveFraction*l.limit.Burst)
-	filled := l.level + refill
+	credited := refill * share
 	if l.detached {
-		filled = l.level + refill*share // the others' part is withheld
+		l.silence.withheld += refill - credited
+		refill = credited
 		creditCap = max(minDetachedCreditCap, share*l.limit.Burst)
 	}
-	l.overflow += l.level + refill - min(filled, l.limit.Burst)
+	filled := l.level + refill
 	l.level = min(filled, l.limit.Burst)
-	l.credit = min(l.credit+refill*share, creditCap)
+	l.overflow += filled - l.level
+	l.credit = min(l.credit+credited, creditCap)
 }
 
 // updateDemand updates the moving average of this instance's demand, in operations
