--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -284,9 +284,6 @@
 			l.charge(min(float64(r.Admitted), r.Demand*age.Seconds()))
 		}
 	case l.reportedByCollector(from, p, r, now):
-		if r.isAggregate() && p.isAggregate && p.section == r.Section {
-			p.accountedAt = now
-		}
 	case r.Admitted <= p.admitted:
 		p.accountedAt = now
 	default:
@@ -394,10 +391,11 @@
 		(c != nil && c.isAggregate && c.section == section && now.Sub(c.lastReportAt) <= peerTimeout)
 }
 
-// lateCharge returns how many of the operations to charge that a peer admitted while
-// its reports were missing: those in excess of the refill that was lost in the meantime. If the reports were missing for longer than the window over which the platform
-// checks limits, it returns at most as many as leave a debt of one burst: refusing requests
-// now would not make up for the older ones.
+// lateCharge returns how many of the operations to charge that a peer admitted while its
+// reports were missing: those in excess of the refill that was lost in the meantime. If the
+// reports were missing for longer than the window over which the platform checks limits, it
+// returns at most as many as leave a debt of one burst: refusing requests now would not make
+// up for the older ones.
 func (l *Limiter) lateCharge(p *peer, operations float64, now time.Time) float64 {
 	covered := min(operations, max(l.overflow-p.overflowAtReport, 0))
 	l.overflow -= covered
