Decide on an operation of a detached instance in one place

The counting of an admission stood twice. Admit names the three sources of an operation, and the allowance of the level has a function of its own. The log line on entries that are left out stands beside their validation.

--- a/core/quota/detached.go
+++ b/core/quota/detached.go
@@ -129,20 +129,3 @@
 	}
 	return part * own / total
 }
-
-// admitDetached admits or refuses one operation of a detached instance.
-func (l *Limiter) admitDetached(share float64) (ok bool, retryAfter time.Duration) {
-	switch {
-	case l.credit >= 1:
-		l.credit--
-	case l.grant > 0 && l.level >= 1:
-		l.grant--
-	default:
-		l.refused++
-		return false, l.retryAfter(share)
-	}
-	l.periodAdmitted++
-	l.level--
-	l.admitted++
-	return true, 0
-}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -213,17 +213,10 @@
 	}
 	l.advance(now)
 	share := l.share(now)
-	if l.detached {
-		return l.admitDetached(share)
-	}
-	allowance := (l.periodLevel - reserveFraction*l.limit.Burst) * max(share, 0.5/float64(l.live))
-	if l.periodLevel >= nearLimitFraction*l.limit.Burst && l.fits(share, now) {
-		allowance = max(allowance, minPeriodAllowance)
-	}
-	l.halfUsed = l.periodAdmitted+1 > allowance/2
 	switch {
-	case l.level-1 >= reserveFraction*l.limit.Burst && l.periodAdmitted+1 <= allowance:
-	case l.credit >= 1 && l.level >= 1:
+	case !l.detached && l.mayUseLevel(share, now):
+	case l.credit >= 1 && (l.detached || l.level >= 1):
+		// While detached, the level is unknown, and the debt known before is in the credit.
 		l.credit--
 	case l.grant > 0 && l.level >= 1:
 		l.grant--
@@ -237,6 +230,17 @@
 	return true, 0
 }
 
+// mayUseLevel reports whether the instance's allowance of the level above the reserve covers
+// one more operation.
+func (l *Limiter) mayUseLevel(share float64, now time.Time) bool {
+	allowance := (l.periodLevel - reserveFraction*l.limit.Burst) * max(share, 0.5/float64(l.live))
+	if l.periodLevel >= nearLimitFraction*l.limit.Burst && l.fits(share, now) {
+		allowance = max(allowance, minPeriodAllowance)
+	}
+	l.halfUsed = l.periodAdmitted+1 > allowance/2
+	return l.level-1 >= reserveFraction*l.limit.Burst && l.periodAdmitted+1 <= allowance
+}
+
 // Grant adds tokens to the bucket after a restart, and lets this instance admit its part of
 // them, a number of operations, although the bucket is below the reserve. Until the
 // instances know of each other's demand, no share of the refill is better than any other.
--- a/pkg/gateway/validate.go
+++ b/pkg/gateway/validate.go
@@ -6,6 +6,7 @@
 	"unicode"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -66,3 +67,12 @@
 	}
 	return nil
 }
+
+// logUnreadable logs the entries of another writer that are passed over.
+func logUnreadable[T any](log *logrus.Entry, changes []Change[T]) {
+	for i := range changes {
+		if c := &changes[i]; c.Err != nil {
+			log.WithFields(logrus.Fields{"event": "entry-unreadable", "key": c.Key}).WithError(c.Err).Warn("entry ignored")
+		}
+	}
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -525,15 +525,6 @@
 	w.run(ctx)
 }
 
-// logUnreadable logs the entries of another writer that are passed over.
-func logUnreadable[T any](log *logrus.Entry, changes []Change[T]) {
-	for i := range changes {
-		if c := &changes[i]; c.Err != nil {
-			log.WithFields(logrus.Fields{"event": "entry-unreadable", "key": c.Key}).WithError(c.Err).Warn("entry ignored")
-		}
-	}
-}
-
 // register writes this instance's entry and reports whether that succeeded.
 func (g *Gateway) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
