Owe nothing for the time before a fleet can be detached

Cause: a fleet of one or two instances is never detached and gets no report to date its knowledge by. When it grew to three, the first instance took all that it had ever admitted for a sample of what the others had admitted in one silence, and its credit fell by 19 times that. It refused everything until reports came, and below the reserve for hours. Change: while a fleet is that small, nothing is unknown; and a debt after a silence is bounded as that of the bucket is.

--- a/core/quota/detached.go
+++ b/core/quota/detached.go
@@ -49,6 +49,7 @@
 func (l *Limiter) updateDetached(now time.Time) {
 	if l.known < minDetachableFleet {
 		l.detached = false
+		l.noteAccounted(now)
 		return
 	}
 	l.updateCoverage(now)
@@ -74,7 +75,8 @@
 // the demand has probably grown at the others, too.
 func (l *Limiter) levelAfterSilence(now time.Time) float64 {
 	byOwn := float64(l.admitted-l.silence.admittedAt) * (1/max(l.silence.shareAt, minAssumedShare) - 1)
-	return min(l.level, l.level+l.overflow-l.silence.overflowAt-max(l.likelyAdmitted(now), byOwn))
+	estimate := l.level + l.overflow - l.silence.overflowAt - max(l.likelyAdmitted(now), byOwn)
+	return max(min(l.level, estimate), -l.maxDebt())
 }
 
 // likelyAdmitted returns what the others are likely to have admitted since the last report,
--- a/core/quota/silence_test.go
+++ b/core/quota/silence_test.go
@@ -112,6 +112,25 @@
 	g.Expect(l.Level(now)).To(BeNumerically("~", 10, 0.1))
 }
 
+// When a fleet grew to three instances, all that the first one had ever admitted was taken
+// for admitted in one silence, and its credit became a debt of hours.
+func TestGrowingFleetOwesNothingForTheTimeBefore(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	l := quota.New(quota.Limit{Rate: 100, Burst: 100}, 1, now)
+	admit := func(d time.Duration, interval time.Duration) (refused int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(interval) {
+			if ok, _ := l.Admit(now); !ok {
+				refused++
+			}
+		}
+		return refused
+	}
+	g.Expect(admit(10*time.Minute, 20*time.Millisecond)).To(BeZero())
+	l.SetInstances(3, 3)
+	g.Expect(admit(5*time.Second, 50*time.Millisecond)).To(BeNumerically("<=", 5), "of 100 at a fifth of the rate")
+}
+
 // Until the first reports of a sudden demand have passed two collectors, each instance takes
 // the others for idle. Several times the rate, from nothing, exceed the limit within a second.
 func TestLimitHoldsWhenDemandStartsFarAboveIt(t *testing.T) {
