Check that admissions near a limit are logged without a refusal

Cause: the workspace of the test had refusals, too, and the test stayed green when only refusals led to a line. Change: a second workspace is near its limit and refuses nothing.

--- a/pkg/gateway/limitlog_test.go
+++ b/pkg/gateway/limitlog_test.go
@@ -23,7 +23,7 @@
 	log.SetOutput(&out)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	l := newLimits(true, quota.Tolerance{})
-	l.configure([]catalog.Workspace{{Name: "near", Rate: 1, Burst: 10}, {Name: "far", Rate: 1000, Burst: 1000}, {Name: "idle", Rate: 1, Burst: 10}}, 7)
+	l.configure([]catalog.Workspace{{Name: "near", Rate: 1, Burst: 10}, {Name: "far", Rate: 1000, Burst: 1000}, {Name: "idle", Rate: 1, Burst: 10}, {Name: "drained", Rate: 1, Burst: 100}}, 7)
 	gw := &Gateway{limits: l, log: logrus.NewEntry(log)}
 	lines := func() []map[string]any {
 		out.Reset()
@@ -39,16 +39,19 @@
 		return all
 	}
 	l.admit("far")
+	l.admit("drained")
 	for range 9 {
 		l.admit("near")
 	}
-	l.observe("peer/1", map[string]quota.Report{"near": {Admitted: 5}}, quota.Report{}, true)
-	l.observe("peer/1", map[string]quota.Report{"near": {Admitted: 8}}, quota.Report{}, true)
+	l.observe("peer/1", map[string]quota.Report{"near": {Admitted: 5}, "drained": {Admitted: 5}}, quota.Report{}, true)
+	l.observe("peer/1", map[string]quota.Report{"near": {Admitted: 8}, "drained": {Admitted: 65}}, quota.Report{}, true)
 	g.Expect(lines()).To(ConsistOf(And(
 		HaveKeyWithValue("event", "limit"), HaveKeyWithValue("workspace", "near"), HaveKeyWithValue("version", 7.0),
 		HaveKeyWithValue("admitted", BeNumerically(">=", 6)), HaveKeyWithValue("byOthers", 3.0), HaveKeyWithValue("rate", 1.0),
 		HaveKey("reportAgeMs"), HaveKeyWithValue("instances", BeNumerically("<=", 1)),
-	)))
+	), And(
+		HaveKeyWithValue("workspace", "drained"), HaveKeyWithValue("admitted", 1.0), HaveKeyWithValue("refused", 0.0), HaveKeyWithValue("byOthers", 60.0),
+	)), "an admission is logged without a refusal")
 	g.Expect(lines()).To(BeEmpty(), "nothing was admitted or refused since")
 }
 
