Answer every statement before a stopping instance ends

Sessions that were open at SIGTERM could begin transactions while the instance stopped, and went on until it ended.

Cause: draining only waited. Nothing refused work that could not be finished: a statement had its whole timeout of 2 s, also if the process ended in 40 ms. Statements and transactions that run for other instances were not waited for at all, unless members have serving sets.

Change: core/shutdown holds the times of a stop. New sessions and transactions are refused as not run once idle sessions are closed (2.3 s), statements from 1 s before the end; an open transaction is then rolled back, which its client is told truthfully. No wait for a member lasts beyond 0.2 s before the end, so that its client still gets an answer. Sessions are interrupted repeatedly, since a session could set its own read deadline just after the interruption. Statements and transactions of peers count as work left for all scopes, and the last answers to peers are written before the instance ends.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -8,8 +8,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/mulberrysill/mulberrysill/core/placement"
+	"github.com/mulberrysill/mulberrysill/core/shutdown"
 	"github.com/mulberrysill/mulberrysill/core/statement"
+	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
 
 const (
@@ -17,11 +18,13 @@
 	// connections after the readiness probe starts to fail: two probes one
 	// second apart, plus propagation.
 	readinessDelay = 2300 * time.Millisecond
-	// exitMargin is the part of the grace period that draining leaves unused.
-	exitMargin = 500 * time.Millisecond
 	// drainPollInterval is the interval between checks of the remaining
 	// sessions.
 	drainPollInterval = 50 * time.Millisecond
+	// stopTimeout bounds the last message to the peers and the wait for answers that are
+	// being written to them. It follows the end of the schedule and fits into the rest of
+	// the grace period.
+	stopTimeout = 200 * time.Millisecond
 )
 
 // serveHTTP starts the readiness, metrics and peer servers.
@@ -41,8 +44,7 @@
 	}
 	readiness := &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}
 	serve(readiness, "readiness", func() error { return readiness.Serve(g.cfg.ReadinessListener) })
-	peer := &http.Server{Handler: g.peers.handler(), ReadHeaderTimeout: headerTimeout}
-	serve(peer, "peers", func() error { return peer.Serve(g.cfg.PeerListener) })
+	serve(g.peerServer, "peers", func() error { return g.peerServer.Serve(g.cfg.PeerListener) })
 	if g.cfg.MetricsListener != nil && g.cfg.Metrics != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", g.cfg.Metrics.Handler())
@@ -64,81 +66,162 @@
 	return len(g.pools) > 0
 }
 
-// beginWait marks the session as waiting for a statement, and as idle unless a
-// transaction is open. It returns false if the instance is closing idle
-// sessions and this one should close.
-func (g *Gateway) beginWait(s *session, deadline *time.Time) bool {
+// sessionWait says what a session waits for.
+type sessionWait uint8
+
+const (
+	// notWaiting sessions run or answer a statement.
+	notWaiting sessionWait = iota
+	// waitsIdle sessions wait for a statement outside a transaction.
+	waitsIdle
+	// waitsInTransaction sessions wait for a statement of an open or failed transaction.
+	waitsInTransaction
+)
+
+// beginWait marks the session as waiting for a statement. It returns false if the instance
+// is closing such sessions and this one should close. A statement that has begun to arrive
+// is still read.
+func (g *Gateway) beginWait(s *session) bool {
 	g.sessionsMu.Lock()
 	defer g.sessionsMu.Unlock()
-	if g.closingSessions && s.state == statement.Idle && !s.client.HasInput() {
+	wait := waitsInTransaction
+	if s.state == statement.Idle {
+		wait = waitsIdle
+	}
+	if g.closesWaiting(wait, time.Now()) && !s.client.HasInput() {
 		delete(g.sessions, s)
 		return false
 	}
-	g.sessions[s] = s.state == statement.Idle
+	g.sessions[s] = wait
 	return true
 }
 
 func (g *Gateway) endWait(s *session) {
 	g.sessionsMu.Lock()
 	defer g.sessionsMu.Unlock()
-	g.sessions[s] = false
+	g.sessions[s] = notWaiting
 }
 
-func (g *Gateway) removeSession(s *session) {
+// closesWaiting reports whether the instance closes sessions that wait.
+func (g *Gateway) closesWaiting(wait sessionWait, now time.Time) bool {
+	schedule := g.stopSchedule()
+	switch wait {
+	case waitsIdle:
+		return !schedule.AcceptsTransactions(now)
+	case waitsInTransaction:
+		return !schedule.AcceptsAnything(now)
+	default:
+		return false
+	}
+}
+
+// interruptWaiting interrupts the sessions that wait and are to be closed. It is called
+// repeatedly, since a session may set its own read deadline just after it was interrupted.
+func (g *Gateway) interruptWaiting() {
 	g.sessionsMu.Lock()
 	defer g.sessionsMu.Unlock()
-	delete(g.sessions, s)
+	now := time.Now()
+	for s, wait := range g.sessions {
+		if g.closesWaiting(wait, now) {
+			if err := s.client.SetReadDeadline(now); err != nil {
+				g.log.WithField("event", "drain").WithError(err).Debug("cannot interrupt a session; it has ended")
+			}
+		}
+	}
+}
+
+// stopSchedule returns the schedule of the stop; nothing ends if none was requested.
+func (g *Gateway) stopSchedule() shutdown.Schedule {
+	if s := g.stopping.Load(); s != nil {
+		return *s
+	}
+	return shutdown.Schedule{}
+}
+
+// acceptStatement returns the refusal of a statement that would have to be sent to a member
+// too shortly before the instance ends. inTransaction says that its transaction ends with it.
+func (g *Gateway) acceptStatement(now time.Time, inTransaction bool) error {
+	schedule := g.stopSchedule()
+	switch {
+	case schedule.AcceptsStatements(now):
+		return nil
+	case inTransaction:
+		return notRun(verdict.TransactionAborted, "the instance is shutting down; the transaction is rolled back")
+	default:
+		return g.shuttingDownError()
+	}
 }
 
-func (g *Gateway) isClosingSessions() bool {
+// answerDeadline returns until when a statement with the deadline may wait for its member.
+func (g *Gateway) answerDeadline(deadline time.Time) time.Time {
+	schedule := g.stopSchedule()
+	return schedule.AnswerBefore(deadline)
+}
+
+// acceptTransaction returns the refusal of a session or transaction that would hardly end
+// before the instance does.
+func (g *Gateway) acceptTransaction(now time.Time) error {
+	schedule := g.stopSchedule()
+	if schedule.AcceptsTransactions(now) {
+		return nil
+	}
+	return g.shuttingDownError()
+}
+
+// shuttingDownError tells the client to use another instance, which may be at once.
+func (g *Gateway) shuttingDownError() error {
+	return notRun(verdict.ShuttingDown, "the instance is shutting down; use another one")
+}
+
+func (g *Gateway) removeSession(s *session) {
 	g.sessionsMu.Lock()
 	defer g.sessionsMu.Unlock()
-	return g.closingSessions
+	delete(g.sessions, s)
 }
 
-// relayedTransactions returns the number of open transactions of peers that the instance waits
-// for before it ends. If members have serving sets, most transactions are relayed.
-func (g *Gateway) relayedTransactions() int {
-	if g.cfg.ServingScope != placement.ServingByMember {
-		return 0
-	}
-	return g.relayedSessions.count()
+// workLeft returns the number of sessions, open transactions of peers, and statements that
+// run for peers.
+func (g *Gateway) workLeft() int {
+	g.sessionsMu.Lock()
+	sessions := len(g.sessions)
+	g.sessionsMu.Unlock()
+	return sessions + g.relayedSessions.count() + int(g.relayedSessions.running.Load())
 }
 
 // drain shuts the instance down. It announces the departure, waits until the
 // platform sends no more clients, closes idle sessions, and gives open
-// transactions until shortly before the end of the grace period. Sessions that
-// are left then end with the process.
+// transactions until shortly before the end of the grace period. Statements that
+// are running then get an answer before drain returns.
 func (g *Gateway) drain(ctx context.Context) {
-	started := time.Now()
+	schedule := shutdown.NewSchedule(time.Now(), g.cfg.GracePeriod, readinessDelay)
+	g.stopping.Store(&schedule)
 	g.draining.Store(true)
 	g.log.WithFields(logrus.Fields{"event": "drain"}).Info("draining")
 	g.peers.announceLeave(ctx)
-	time.Sleep(readinessDelay)
-	g.sessionsMu.Lock()
-	g.closingSessions = true
-	for s, idle := range g.sessions {
-		if idle {
-			// Interrupts the wait; a statement that has begun to arrive is
-			// still read.
-			_ = s.client.SetReadDeadline(time.Now())
-		}
-	}
-	g.sessionsMu.Unlock()
-	deadline := started.Add(g.cfg.GracePeriod - exitMargin)
-	for time.Now().Before(deadline) {
-		g.sessionsMu.Lock()
-		left := len(g.sessions)
-		g.sessionsMu.Unlock()
-		if left += g.relayedTransactions(); left == 0 {
+	time.Sleep(time.Until(schedule.CloseIdle))
+	for time.Now().Before(schedule.End) {
+		g.interruptWaiting()
+		if g.workLeft() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
 	_ = g.cfg.ClientListener.Close()
 	g.peers.announceStop(ctx)
+	g.closePeerServer(ctx)
 	g.sessionsMu.Lock()
 	left := len(g.sessions)
 	g.sessionsMu.Unlock()
-	g.log.WithFields(logrus.Fields{"event": "drained", "sessions": left, "relayedTransactions": g.relayedTransactions()}).Info("drained")
+	g.log.WithFields(logrus.Fields{
+		"event": "drained", "sessions": left, "relayedTransactions": g.relayedSessions.count(), "relayedStatements": g.relayedSessions.running.Load(),
+	}).Info("drained")
+}
+
+// closePeerServer waits until the answers to peers have been written.
+func (g *Gateway) closePeerServer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := g.peerServer.Shutdown(ctx); err != nil {
+		g.log.WithField("event", "drain").WithError(err).Warn("answers to peers may not have been written")
+	}
 }
--- /dev/null
+++ b/pkg/gateway/drain_test.go
@@ -0,0 +1,77 @@
+package gateway_test
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a planned stop", func() {
+	// Guards against statements that are sent to a member shortly before the process ends and
+	// get no answer.
+	It("answers every statement before the instance ends, also of transactions begun while it stops", func() {
+		const sessions = 4
+		d := newDeployment(1, 10000)
+		d.group.StatementTime = 150 * time.Millisecond
+		var inProgress, answered, cut atomic.Int64
+		var running sync.WaitGroup
+		var clients []*client
+		for range sessions {
+			clients = append(clients, d.instances[0].session("stock", "k1"))
+		}
+		d.instances[0].stop()
+		time.Sleep(1500 * time.Millisecond)
+		for n, c := range clients {
+			running.Go(func() {
+				defer GinkgoRecover()
+				time.Sleep(time.Duration(n) * 30 * time.Millisecond)
+				text := "BEGIN READ"
+				for {
+					inProgress.Add(1)
+					answer := c.query(text)[0]
+					inProgress.Add(-1)
+					switch {
+					case answer == "closed":
+						cut.Add(1)
+						return
+					case text == "ROLLBACK":
+						return
+					case strings.HasPrefix(answer, "ERR"):
+						Expect(answer).To(HavePrefix("ERR ABORTED"))
+						text = "ROLLBACK"
+					default:
+						answered.Add(1)
+						text = "READ x"
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
+		Expect(inProgress.Load()).To(BeZero(), "statements in progress as the instance ended")
+		running.Wait()
+		Expect(cut.Load()).To(BeZero(), "statements whose connection ended without an answer")
+		Expect(answered.Load()).To(BeNumerically(">", sessions))
+	})
+	// Guards against accepting work that would be cut off.
+	It("refuses sessions and transactions once idle sessions are closed", func() {
+		d := newDeployment(2, 10000, func(d *deployment) { d.gracePeriod = 9 * time.Second })
+		c := d.instances[0].session("orders", "k1")
+		Expect(c.query("BEGIN READ")[0]).To(HavePrefix("DONE"))
+		d.instances[0].stop()
+		for stopped := time.Now(); time.Since(stopped) < 2500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+			// Keeps the transaction from being idle too long.
+			Expect(c.query("READ x")[0]).To(HavePrefix("ROW"))
+		}
+		_, answer := d.instances[0].dial("orders", "k1")
+		Expect(answer).To(HavePrefix("ERR BUSY"))
+		Expect(c.query("READ x")[0]).To(HavePrefix("ROW"), "an open transaction goes on for half of the grace period")
+		Expect(c.query("COMMIT")[0]).To(HavePrefix("DONE"))
+		Expect(c.line()).To(Equal("closed"))
+		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
+	})
+})
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -143,6 +143,8 @@
 // announceStop tells the peers the commits that this instance knows to be acknowledged, and
 // that it runs no more statements.
 func (ps *peers) announceStop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
 	state := ps.localState(workspaceSet{})
 	state.Stopped = true
 	ps.sendToPeers(ctx, state).Wait()
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -84,7 +84,10 @@
 	if err != nil {
 		return statement.Reply{}, err
 	}
-	deadline := time.Now().Add(statementTimeout(route) - s.waited)
+	if err := s.gw.acceptStatement(time.Now(), false); err != nil {
+		return statement.Reply{}, err
+	}
+	deadline := s.gw.answerDeadline(time.Now().Add(statementTimeout(route) - s.waited))
 	op := &operation{Statement: st, route: route, workspace: workspace, pool: p, deadline: deadline, rec: rec, member: s.member, waited: s.waited}
 	if p.servingScope() == placement.ServingByMember && !s.isRelayed {
 		return s.runAtMembers(ctx, op)
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -39,6 +39,8 @@
 	instances  []*instance
 	// scope is the scope of the serving sets.
 	scope placement.ServingScope
+	// gracePeriod is the time in which an instance stops.
+	gracePeriod time.Duration
 	// usage is what the platform requires of usage reports; none by default.
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
@@ -60,7 +62,7 @@
 func newDeployment(instances int, rate float64, options ...func(*deployment)) *deployment {
 	group, err := standin.NewGroup("g1", 3, maxConnections)
 	Expect(err).NotTo(HaveOccurred())
-	d := &deployment{store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group)}
+	d := &deployment{store: standin.NewStore(), group: group, gracePeriod: 4 * time.Second, promotions: standin.NewPromotionServer(group)}
 	DeferCleanup(func() {
 		for _, i := range d.instances {
 			i.stop()
@@ -175,7 +177,7 @@
 	i.answersPeers.Store(true)
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
-		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: 4 * time.Second, FirstStart: true,
+		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: true,
 		ClientListener: clients, PeerListener: usageCallCounter{peerListener{peers, i}, &d.usageCalls}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
 		ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/quota"
+	"github.com/mulberrysill/mulberrysill/core/shutdown"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 	"github.com/mulberrysill/mulberrysill/pkg/metrics"
 )
@@ -114,11 +116,14 @@
 	poolsMu sync.RWMutex
 	pools   map[string]*pool // guarded by poolsMu
 
-	sessionsMu      sync.Mutex
-	sessions        map[*session]bool // guarded by sessionsMu; true while idle
-	closingSessions bool              // guarded by sessionsMu
-	draining        atomic.Bool
-	running         sync.WaitGroup
+	sessionsMu sync.Mutex
+	sessions   map[*session]sessionWait // guarded by sessionsMu
+	draining   atomic.Bool
+	// stopping is the schedule of the stop; nil until one is requested.
+	stopping atomic.Pointer[shutdown.Schedule]
+	// peerServer serves the other instances.
+	peerServer *http.Server
+	running    sync.WaitGroup
 	// A value sent to these channels interrupts the long poll for the
 	// operators' entries or the members, or the wait before the instances are
 	// listed again.
@@ -148,7 +153,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, started: time.Now().UnixMilli(), log: cfg.Log,
-		pools: map[string]*pool{}, sessions: map[*session]bool{},
+		pools: map[string]*pool{}, sessions: map[*session]sessionWait{},
 		interruptOperatorsPoll: make(chan struct{}, 1), interruptMembersPoll: make(chan struct{}, 1), relistInstances: make(chan struct{}, 1),
 	}
 	g.configLease.MaxAge = cfg.RevocationBound - configLeaseMargin
@@ -160,6 +165,7 @@
 		g.usageCounter, g.usageGatherer, g.usageSender = newUsageCounter(cfg.UsageReports.Window), newUsageGatherer(), newUsageSender(g)
 	}
 	g.peers = newPeers(g)
+	g.peerServer = &http.Server{Handler: g.peers.handler(), ReadHeaderTimeout: headerTimeout}
 	g.controller = newController(g)
 	return g
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -216,7 +216,7 @@
 	tx := s.tx
 	isWrite := s.isWrite(st)
 	tx.hasWritten = tx.hasWritten || isWrite
-	reply, err := s.relay(ctx, tx.peer, tx.pool, tx.member, st, begin, begin && tx.uncharged, statementTimeout(tx.route), rec)
+	reply, err := s.relay(ctx, tx.peer, tx.pool, tx.member, st, begin, begin && tx.uncharged, time.Until(s.gw.answerDeadline(time.Now().Add(statementTimeout(tx.route)))), rec)
 	e := new(verdict.Error)
 	switch {
 	case err == nil:
@@ -284,6 +284,8 @@
 type relayedSessions struct {
 	mu       sync.Mutex
 	sessions map[string]*relayedSession // guarded by mu
+	// running is the number of statements in progress.
+	running atomic.Int64
 }
 
 type relayedSession struct {
@@ -295,6 +297,8 @@
 // Run runs a statement for a client of a peer.
 func (ps *peers) Run(ctx context.Context, r *pb.RunRequest) (*pb.RunResponse, error) {
 	g := ps.gw
+	g.relayedSessions.running.Add(1)
+	defer g.relayedSessions.running.Add(-1)
 	st := statement.Statement{ID: r.Id, Kind: statement.Kind(r.Kind), Name: r.Name, Argument: r.Argument, Text: r.Text}
 	rec := requestRecord{id: r.Id, database: r.Database, kind: st.Kind.String(), started: time.Now(), relay: r.From}
 	// Cancelling the peer's call must not cancel a statement in progress,
@@ -357,6 +361,9 @@
 		return nil, notRun(verdict.TransactionAborted, "unknown transaction; it has been rolled back")
 	}
 	s := &session{gw: g, isRelayed: true, chargeRelayed: r.Charge, startup: Startup{Database: r.Database, Key: r.Key}}
+	if err := g.acceptTransaction(time.Now()); err != nil {
+		return nil, err
+	}
 	route, workspace, p, err := s.resolveRoute(&requestRecord{})
 	if err == nil {
 		err = s.chargeLimit(workspace, &requestRecord{})
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -267,7 +267,7 @@
 func (s *session) beginAtMembers(ctx context.Context, st statement.Statement, rec *requestRecord) (reply statement.Reply, ran bool, err error) {
 	tx := s.tx
 	search := &memberSearch{
-		pool: tx.pool, route: tx.route, started: rec.started, deadline: rec.started.Add(statementTimeout(tx.route)), isRead: tx.readOnly,
+		pool: tx.pool, route: tx.route, started: rec.started, deadline: s.gw.answerDeadline(rec.started.Add(statementTimeout(tx.route))), isRead: tx.readOnly,
 		req: connRequest{workspace: tx.workspace.Name, needsPrimary: !tx.readOnly || tx.route.Consistency == catalog.Strict, priority: tx.route.Priority, excluded: map[string]bool{}},
 	}
 	for {
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -97,6 +97,10 @@
 		s.reject(verdict.FromError(err))
 		return
 	}
+	if err := s.gw.acceptTransaction(time.Now()); err != nil {
+		s.reject(verdict.FromError(err))
+		return
+	}
 	if s.client.Ready() != nil {
 		return
 	}
@@ -132,7 +136,7 @@
 	if s.state == statement.InTransaction {
 		deadline = s.gw.idleTransactionDeadline(time.Now())
 	}
-	if !s.gw.beginWait(s, &deadline) {
+	if !s.gw.beginWait(s) {
 		s.client.DrainAndClose(closeDrainTimeout)
 		return false
 	}
@@ -155,9 +159,8 @@
 		s.gw.requests.record(requestRecord{id: st.ID, database: s.startup.Database, kind: "malformed", err: e})
 		return s.client.AnswerError(e, s.state) == nil && !e.Fatal
 	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &netErr) && netErr.Timeout()):
-		if s.gw.isClosingSessions() && s.state != statement.InTransaction {
-			s.client.DrainAndClose(closeDrainTimeout)
-			return false
+		if schedule := s.gw.stopSchedule(); !schedule.AcceptsTransactions(time.Now()) && (s.state == statement.Idle || !schedule.AcceptsAnything(time.Now())) {
+			return true // serveNext closes the session unless a statement has arrived
 		}
 		// An idle transaction is rolled back to free its connection; the
 		// client learns of it from the response to its next statement.
@@ -315,6 +318,9 @@
 }
 
 func (s *session) beginTransaction(st statement.Statement, rec *requestRecord) (statement.Reply, error) {
+	if err := s.gw.acceptTransaction(time.Now()); err != nil {
+		return statement.Reply{}, err
+	}
 	route, workspace, p, err := s.resolveRoute(rec)
 	if err != nil {
 		return statement.Reply{}, err
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -29,6 +29,10 @@
 		s.state = statement.Idle
 		return statement.Reply{}, nil
 	}
+	if err := s.gw.acceptStatement(time.Now(), true); err != nil {
+		s.endAfterError(st)
+		return statement.Reply{}, err
+	}
 	// A revoked key ends the transaction; a change of the route does not
 	// affect it.
 	if _, _, err := s.gw.authorize(s.startup); err != nil && verdict.FromError(err).Code != verdict.NoSuchRoute {
@@ -66,7 +70,7 @@
 	if tx.peer != nil {
 		return s.relayInTransaction(ctx, st, false, rec)
 	}
-	deadline := time.Now().Add(statementTimeout(tx.route) - s.waited)
+	deadline := s.gw.answerDeadline(time.Now().Add(statementTimeout(tx.route) - s.waited))
 	if tx.conn == nil {
 		if err := s.beginAtMember(ctx, st, deadline, rec); err != nil {
 			s.endAfterError(st)
