Read statements that have arrived when idle sessions are interrupted

Cause: closing idle sessions interrupts their wait with a read deadline. A statement that lay in the socket, unread because the processor was busy, was then taken for no statement, read as pending input and dropped, so that its client got no answer. A statement of which a part had arrived lost this part, also when an idle transaction timed out, and the rest was read as a message of its own.

--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -37,7 +37,8 @@
 	// *verdict.Error must be answered with AnswerError and ends the session if it
 	// is fatal; any other error ends the session.
 	NextStatement(deadline time.Time) (statement.Statement, error)
-	// HasInput reports whether part of the next statement has been read.
+	// HasInput reports whether part of the next statement has arrived, also if it has not
+	// been read.
 	HasInput() bool
 	// Answer and AnswerError answer the last statement.
 	Answer(statement.Reply, statement.State) error
