Remember a session's commits in all groups

Cause: a session held the position of one commit and its group. A write to another group overwrote it. Relayed statements carried one group as well, and the sender recorded a relayed commit for the group of its own configuration, while the receiver may have run it in another one.

Relayed statements carry all positions; the response names the group of the commit. A message of an older build says nothing about other groups, so their reads go to the primary. An older receiver gets the position in the group of the statement.

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -142,9 +142,8 @@
 		reply, sent, err := s.send(conn, p, op.Statement, op.deadline)
 		switch {
 		case err == nil && reply.Err == nil:
-			p.recordCommit(reply.Position)
 			p.recordLeadership(conn, asked, reply.Position)
-			s.recordWrite(op.route.Group, reply.Position)
+			s.recordCommit(p, reply.Position)
 			p.release(conn, true)
 			return reply, nil
 		case err == nil:
@@ -182,20 +181,31 @@
 	}
 }
 
-func (s *session) recordWrite(groupName string, at group.Position) {
-	s.lastWrite, s.lastGroup = at, groupName
+// recordCommit records the position of an acknowledged commit of this session.
+func (s *session) recordCommit(p *pool, at group.Position) {
+	p.recordCommit(at)
+	s.commits.Record(p.name, at)
+	s.committedGroup = p.name
 }
 
 // readFloor returns the minimum position that a read of the route must see. It
-// returns false if no recent position of the primary is known.
+// returns false if the primary must serve the read, because no recent position of the
+// primary is known, or not all commits of the session are.
 func (s *session) readFloor(route *catalog.Route, p *pool) (group.Position, bool) {
+	own := group.Position{}
+	if route.Consistency == catalog.ReadYourWrites {
+		var known bool
+		if own, known = s.commits.Floor(route.Group); !known {
+			return group.Position{}, false
+		}
+	}
 	floor, ok := p.floor(bootTime() + stalenessMargin - route.MaxStaleness)
 	if !ok {
 		p.awaitPosition()
 		floor, ok = p.floor(bootTime() + stalenessMargin - route.MaxStaleness)
 	}
-	if route.Consistency == catalog.ReadYourWrites && s.lastGroup == route.Group && s.lastWrite.Compare(floor) > 0 {
-		floor = s.lastWrite
+	if own.Compare(floor) > 0 {
+		floor = own
 	}
 	return floor, ok
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/consistency"
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/membership"
 	"github.com/mulberrysill/mulberrysill/core/placement"
@@ -118,8 +120,8 @@
 	request := &pb.RunRequest{
 		From: s.gw.cfg.ID + "/" + strconv.FormatInt(s.gw.started, 36), Database: s.startup.Database, Key: s.startup.Key,
 		Begin: begin, Charge: charge, Id: st.ID, Kind: uint32(st.Kind), Name: st.Name, Argument: st.Argument, Text: st.Text, Values: s.settings,
-		LastGroup: s.lastGroup, LastTerm: s.lastWrite.Term, LastIndex: s.lastWrite.Index,
 	}
+	s.storeCommits(request, p.name)
 	mayRepeat := !s.isWrite(st)
 	if s.tx != nil {
 		request.Transaction, request.ReadOnly = s.tx.relayID, s.tx.readOnly
@@ -155,7 +157,7 @@
 		p.noteTarget(member, time.Duration(answer.ExpectedWaitUs)*time.Microsecond, false)
 	}
 	rec.member, rec.attempts, rec.relay = answer.Member, rec.attempts+int(answer.Attempts), to.ID
-	s.state = statement.State(answer.State)
+	s.state, s.committedGroup = statement.State(answer.State), answer.Group
 	if answer.Code != "" {
 		e := verdict.New(verdict.Verdict(answer.Verdict), verdict.Code(answer.Code), "%s", answer.Message)
 		return statement.Reply{}, e.WithRetryAfter(time.Duration(answer.RetryAfterMs) * time.Millisecond)
@@ -177,8 +179,7 @@
 	e := new(verdict.Error)
 	switch {
 	case err == nil && isWrite:
-		op.pool.recordCommit(reply.Position)
-		s.recordWrite(op.route.Group, reply.Position)
+		s.recordRelayedCommit(op.pool, reply.Position)
 		return reply, nil
 	case err == nil:
 		return reply, nil
@@ -222,8 +223,7 @@
 	case err == nil:
 		if st.Kind == statement.Commit {
 			if tx.hasWritten {
-				tx.pool.recordCommit(reply.Position)
-				s.recordWrite(tx.route.Group, reply.Position)
+				s.recordRelayedCommit(tx.pool, reply.Position)
 			}
 			s.tx = nil
 		}
@@ -342,10 +342,45 @@
 	if statement.Kind(r.Kind) == statement.Execute {
 		s.prepared = map[string]preparedStatement{r.Name: {r.PreparedWrite, r.PreparedShape}}
 	}
-	s.lastGroup, s.lastWrite = r.LastGroup, group.Position{Term: r.LastTerm, Index: r.LastIndex}
+	s.commits, s.committedGroup = relayedCommits(r), ""
 	s.member, s.waited = r.Member, min(max(time.Duration(r.WaitedUs)*time.Microsecond, 0), maxReportedWait)
 }
 
+// storeCommits adds the session's commits to a request for a statement of the group.
+func (s *session) storeCommits(r *pb.RunRequest, groupName string) {
+	commits, incomplete := s.commits.All()
+	for _, c := range commits {
+		r.Commits = append(r.Commits, &pb.GroupCommit{Group: c.Group, Term: c.Position.Term, Index: c.Position.Index})
+		if c.Group == groupName {
+			r.LastGroup, r.LastTerm, r.LastIndex = c.Group, c.Position.Term, c.Position.Index
+		}
+	}
+	r.CommitsIncomplete = incomplete
+}
+
+// relayedCommits returns the commits of the session for which a statement is relayed.
+func relayedCommits(r *pb.RunRequest) consistency.SessionCommits {
+	if len(r.Commits) == 0 && r.LastGroup != "" {
+		// An older build knows the last group to which the session wrote, and no other.
+		last := consistency.GroupCommit{Group: r.LastGroup, Position: group.Position{Term: r.LastTerm, Index: r.LastIndex}}
+		return consistency.RestoreSessionCommits([]consistency.GroupCommit{last}, true)
+	}
+	commits := make([]consistency.GroupCommit, len(r.Commits))
+	for i, c := range r.Commits {
+		commits[i] = consistency.GroupCommit{Group: c.Group, Position: group.Position{Term: c.Term, Index: c.Index}}
+	}
+	return consistency.RestoreSessionCommits(commits, r.CommitsIncomplete)
+}
+
+// recordRelayedCommit records a commit that a peer has run, in the group in which it did.
+func (s *session) recordRelayedCommit(p *pool, at group.Position) {
+	name := cmp.Or(s.committedGroup, p.name)
+	if ran := s.gw.pool(name); ran != nil {
+		ran.recordCommit(at)
+	}
+	s.commits.Record(name, at)
+}
+
 func relayedKey(r *pb.RunRequest) string { return r.From + "/" + strconv.FormatUint(r.Transaction, 36) }
 
 // findOrBegin returns the session of a relayed transaction, creating it for
@@ -404,7 +439,7 @@
 	out := &pb.RunResponse{
 		Rows: reply.Rows, Signature: reply.Signature, State: uint32(s.state),
 		Term: reply.Position.Term, Index: reply.Position.Index, Member: rec.member,
-		Attempts: uint32(rec.attempts),
+		Attempts: uint32(rec.attempts), Group: s.committedGroup,
 	}
 	if route, p := s.gw.routeOf(rec.database); p != nil && s.member != "" {
 		out.ExpectedWaitUs = p.expectedMemberWait(s.member, rec.workspace, route.Priority).Microseconds()
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
-	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/consistency"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
@@ -39,12 +39,11 @@
 	// are sent to a member only when a statement needs them.
 	settings map[string]string
 	prepared map[string]preparedStatement
-	// lastWrite is the position of the session's last commit, made in group
-	// lastGroup.
-	lastWrite group.Position
-	lastGroup string
-	state     statement.State
-	tx        *transaction
+	commits  consistency.SessionCommits
+	// committedGroup is the group of the commit that was recorded last.
+	committedGroup string
+	state          statement.State
+	tx             *transaction
 	// isRelayed is set for sessions that run statements for a client of
 	// another instance. That instance has charged the workspace's limit unless
 	// chargeRelayed is set.
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -107,8 +107,7 @@
 func (s *session) finishCommit(reply statement.Reply) {
 	tx := s.tx
 	if tx.hasWritten {
-		tx.pool.recordCommit(reply.Position)
-		s.recordWrite(tx.route.Group, reply.Position)
+		s.recordCommit(tx.pool, reply.Position)
 	}
 	tx.pool.release(tx.conn, true)
 	s.tx, s.state = nil, statement.Idle
