Count no replica as paused that refuses its pause

Cause: after any refusal of PAUSE, also one for lack of a connection or a slot, the member's status was taken for the answer and nobody looked at its pause. The member went on acknowledging commits that the successor could lack. In the same way one refusal of RESUME ended the attempt, and the replica stayed paused until the next promotion.

Change: a refused pause counts only if the status shows a replica with a pause of the same or a later term; otherwise the member has not answered, and the change goes on once it has.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -43,6 +43,9 @@
 	// cutOffRecheckDelay separates the two checks that confirm that commits
 	// reach no replica.
 	cutOffRecheckDelay = 150 * time.Millisecond
+	// resumeRetryInterval is the delay before a replica that refused to be resumed is asked
+	// again.
+	resumeRetryInterval = 200 * time.Millisecond
 	// maxSuccessorProofAge is the age from which on the proof that the successor holds every
 	// commit is repeated before the promotion is ordered. Replicas that restart have
 	// forgotten that they are paused.
@@ -182,12 +185,7 @@
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			status, err := c.pool.controlCall(ctx, m, st)
-			if err != nil && isMemberError(err) && st.Kind != statement.Status {
-				// A member already paused in this or a later term refuses the
-				// call; its status says so.
-				status, err = c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Status})
-			}
+			status, err := c.callMember(ctx, m, st)
 			if err != nil {
 				c.log().WithFields(logrus.Fields{"member": m.ID, "call": st.Kind.String()}).WithError(err).Info("member does not answer")
 				return
@@ -201,6 +199,26 @@
 	return out
 }
 
+// callMember sends a status call or a pause to a member. A pause that was refused counts
+// only if the member's status shows one of the same or a later term, as after a call whose
+// response was lost. Most refusals mean that the member goes on receiving.
+func (c *primaryChange) callMember(ctx context.Context, m Member, st statement.Statement) (statement.MemberStatus, error) {
+	status, err := c.pool.controlCall(ctx, m, st)
+	if st.Kind != statement.Pause {
+		return status, err
+	}
+	if isMemberError(err) {
+		refusal := err
+		if status, err = c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Status}); err != nil {
+			return status, errors.CombineErrors(refusal, err)
+		}
+	}
+	if err == nil && (status.Role != group.Replica || status.PausedTerm < st.Term) {
+		return status, errors.Newf("member is not paused in term %d: %s with a pause in term %d", st.Term, status.Role, status.PausedTerm)
+	}
+	return status, err
+}
+
 // prepareSuccessor chooses a successor, pauses the other replicas, and reports
 // whether the successor then holds every acknowledged commit.
 func (c *primaryChange) prepareSuccessor(ctx context.Context) (Member, bool) {
@@ -313,14 +331,25 @@
 	c.resumeReplicas(ctx)
 }
 
-// resumeReplicas lets the paused replicas receive commits again.
+// resumeReplicas lets the paused replicas receive commits again. A replica that refuses is
+// asked again until ctx ends; one that does not answer is left to the next holder of the
+// promotion lease.
 func (c *primaryChange) resumeReplicas(ctx context.Context) {
-	for _, m := range c.pausedReplicas {
-		if _, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Resume}); err != nil {
-			c.log().WithField("member", m.ID).WithError(err).Warn("cannot resume replica")
+	refusing := c.pausedReplicas
+	c.pausedReplicas = nil
+	for {
+		refusing = slices.DeleteFunc(refusing, func(m Member) bool {
+			_, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Resume})
+			if err != nil {
+				c.log().WithField("member", m.ID).WithError(err).Warn("cannot resume replica")
+			}
+			return !isMemberError(err)
+		})
+		if len(refusing) == 0 || ctx.Err() != nil {
+			return
 		}
+		sleep(ctx, resumeRetryInterval)
 	}
-	c.pausedReplicas = nil
 }
 
 // errNotDutyHolder means that another instance has claimed the promotion
--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -220,6 +221,30 @@
 		}, eventualTimeout, pollInterval).Should(BeTrue())
 		Expect(d.group.HasCommit(standin.Commit{Item: "a", Data: "b"})).To(BeTrue())
 	})
+	// Guards against taking a replica that refuses its pause for one that receives nothing: it
+	// would go on acknowledging commits that the successor may lack.
+	It("is not ordered while a replica refuses to be paused", func() {
+		d := newDeployment(1, 10000)
+		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
+		primary, refusing := d.group.Primary(), d.group.Members()[2]
+		refusing.RefuseControls(math.MaxInt)
+		d.store.PutMember(primary, "draining")
+		Consistently(func() string { return d.group.Primary().ID }, 2*time.Second, pollInterval).Should(Equal(primary.ID))
+		refusing.RefuseControls(0)
+		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).ShouldNot(Equal(primary.ID))
+	})
+	// Guards against replicas that stay paused because one refusal ends the attempt to resume
+	// them.
+	It("resumes a replica that refuses at first", func() {
+		d := newDeployment(1, 10000)
+		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
+		d.group.Members()[2].SetPausedTerm(9)
+		d.group.Members()[2].RefuseControls(2)
+		d.instances[0].stop()
+		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
+		d.start("entry9")
+		Eventually(d.group.Members()[2].PausedTerm, eventualTimeout, pollInterval).Should(BeZero())
+	})
 	It("resumes a replica that a former holder of the promotion lease left paused", func() {
 		d := newDeployment(1, 10000)
 		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
