Ask the instances only if their answer can decide a promotion

Cause: while a replica was silent but still listed, or the primary answered, each attempt to find a successor asked all instances for their commits, although Choose cannot return a member then, or does not need them.

Change: promotion.NeedsCompleteKnowledge says when they are asked.

--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -140,9 +140,9 @@
 // has left the group may have taken the only other copy of a commit with it.
 const minReplicaLogs = 2
 
-// LacksReplicaLogs reports whether the replicas that answered may lack acknowledged commits,
+// lacksReplicaLogs reports whether the replicas that answered may lack acknowledged commits,
 // because another replica is silent or because too few are left.
-func LacksReplicaLogs(members []Member, primary string) bool {
+func lacksReplicaLogs(members []Member, primary string) bool {
 	answered := 0
 	for i := range members {
 		switch m := &members[i]; {
@@ -156,13 +156,21 @@
 	return answered < minReplicaLogs
 }
 
+// NeedsCompleteKnowledge reports whether Choose can return a member only if
+// Knowledge.Complete is set.
+func NeedsCompleteKnowledge(members []Member, primary string) bool {
+	_, primaryAnswered := primaryLog(members, primary)
+	_, hasCandidate := MostAdvanced(members, primary)
+	return hasCandidate && !primaryAnswered && lacksReplicaLogs(members, primary)
+}
+
 // Choose returns the ID of the member to promote, which is never primary. Before the
 // call, the caller requests the status of the members or pauses them, and records their
 // responses. The promoted member must have received known.Acknowledged.
 //
 // A commit is acknowledged once the primary and one replica have it. If all replicas have
 // answered, the highest position among them therefore covers all acknowledged commits. If
-// not (see LacksReplicaLogs), a replica that did not answer may be the only one that has
+// not, or if fewer than minReplicaLogs are left, a replica that did not answer may be the only one that has
 // received some of them. Choose then requires one of two proofs:
 //
 //   - the log of the primary, if the primary answered: the promoted member must have all of
@@ -178,7 +186,7 @@
 // position is preferred to it.
 func Choose(members []Member, primary string, known Knowledge) (string, bool) {
 	required := known.Acknowledged
-	if LacksReplicaLogs(members, primary) {
+	if lacksReplicaLogs(members, primary) {
 		log, answered := primaryLog(members, primary)
 		switch {
 		case answered:
--- a/core/shutdown/schedule.go
+++ b/core/shutdown/schedule.go
@@ -56,9 +56,9 @@
 	return !s.isStopping() || now.Before(s.LastStatement)
 }
 
-// AcceptsAnything reports whether a statement of an open transaction is still awaited, be it
-// to refuse it.
-func (s *Schedule) AcceptsAnything(now time.Time) bool {
+// AwaitsTransactions reports whether the instance still waits for statements of open
+// transactions, be it to refuse them.
+func (s *Schedule) AwaitsTransactions(now time.Time) bool {
 	return !s.isStopping() || now.Before(s.LastAnswer)
 }
 
--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,20 +31,12 @@
 	// successorRetryInterval is the delay between two attempts to find a
 	// successor.
 	successorRetryInterval = 150 * time.Millisecond
-	// dutyRenewAge is the age at which a holder renews its claim before it
-	// acts. dutyRenewTimeout bounds the renewal; if the store does not respond,
-	// no other instance can claim the promotion lease either.
-	dutyRenewAge     = 500 * time.Millisecond
-	dutyRenewTimeout = 300 * time.Millisecond
 	// demoteTimeout bounds the attempts to demote a former primary, which are made every
 	// demoteRetryInterval.
 	demoteTimeout, demoteRetryInterval = 10 * time.Second, 500 * time.Millisecond
 	// cutOffRecheckDelay separates the two checks that confirm that commits
 	// reach no replica.
 	cutOffRecheckDelay = 150 * time.Millisecond
-	// resumeRetryInterval is the delay before a replica that refused to be resumed is asked
-	// again.
-	resumeRetryInterval = 200 * time.Millisecond
 	// maxSuccessorProofAge is the age from which on the proof that the successor holds every
 	// commit is repeated before the promotion is ordered. Replicas that restart have
 	// forgotten that they are paused.
@@ -166,59 +157,6 @@
 	}
 }
 
-// callMembers sends a status call, or the statement returned by choose, to all
-// members and returns the statuses of those that responded.
-func (c *primaryChange) callMembers(ctx context.Context, choose func(Member) (statement.Statement, bool)) map[string]statement.MemberStatus {
-	members, _, _, _ := c.pool.snapshot()
-	var mu sync.Mutex
-	out := map[string]statement.MemberStatus{}
-	var calls sync.WaitGroup
-	for i := range members {
-		m := members[i].Member
-		st, ok := statement.Statement{Kind: statement.Status}, true
-		if choose != nil {
-			st, ok = choose(m)
-		}
-		if !ok {
-			continue
-		}
-		calls.Add(1)
-		go func() {
-			defer calls.Done()
-			status, err := c.callMember(ctx, m, st)
-			if err != nil {
-				c.log().WithFields(logrus.Fields{"member": m.ID, "call": st.Kind.String()}).WithError(err).Info("member does not answer")
-				return
-			}
-			mu.Lock()
-			out[m.ID] = status
-			mu.Unlock()
-		}()
-	}
-	calls.Wait()
-	return out
-}
-
-// callMember sends a status call or a pause to a member. A pause that was refused counts
-// only if the member's status shows one of the same or a later term, as after a call whose
-// response was lost. Most refusals mean that the member goes on receiving.
-func (c *primaryChange) callMember(ctx context.Context, m Member, st statement.Statement) (statement.MemberStatus, error) {
-	status, err := c.pool.controlCall(ctx, m, st)
-	if st.Kind != statement.Pause {
-		return status, err
-	}
-	if isMemberError(err) {
-		refusal := err
-		if status, err = c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Status}); err != nil {
-			return status, errors.CombineErrors(refusal, err)
-		}
-	}
-	if err == nil && (status.Role != group.Replica || status.PausedTerm < st.Term) {
-		return status, errors.Newf("member is not paused in term %d: %s with a pause in term %d", st.Term, status.Role, status.PausedTerm)
-	}
-	return status, err
-}
-
 // prepareSuccessor chooses a successor, pauses the other replicas, and reports
 // whether the successor then holds every acknowledged commit.
 func (c *primaryChange) prepareSuccessor(ctx context.Context) (Member, bool) {
@@ -331,27 +269,6 @@
 	c.resumeReplicas(ctx)
 }
 
-// resumeReplicas lets the paused replicas receive commits again. A replica that refuses is
-// asked again until ctx ends; one that does not answer is left to the next holder of the
-// promotion lease.
-func (c *primaryChange) resumeReplicas(ctx context.Context) {
-	refusing := c.pausedReplicas
-	c.pausedReplicas = nil
-	for {
-		refusing = slices.DeleteFunc(refusing, func(m Member) bool {
-			_, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Resume})
-			if err != nil {
-				c.log().WithField("member", m.ID).WithError(err).Warn("cannot resume replica")
-			}
-			return !isMemberError(err)
-		})
-		if len(refusing) == 0 || ctx.Err() != nil {
-			return
-		}
-		sleep(ctx, resumeRetryInterval)
-	}
-}
-
 // errNotDutyHolder means that another instance has claimed the promotion
 // lease.
 var errNotDutyHolder = errors.New("another instance holds the promotion duty")
@@ -405,64 +322,6 @@
 	return false, ctx.Err()
 }
 
-// mayAct reports whether this instance holds the promotion lease and may act on it. After
-// the store was restored, the claim must have been made again, and another holder may have
-// acted just before although its claim is lost. An instance that has heard from all others
-// since then knows of that holder.
-func (c *controller) mayAct() bool {
-	duty, self, _ := c.gw.peers.dutyHolder()
-	era, age := c.gw.eras.knownFor()
-	return self && duty.Token.Era() == era && (age >= minDutyTenure || c.gw.peers.heardFromAll(age))
-}
-
-// awaitDuty renews this instance's claim and returns it once the instance may act on it.
-// It returns false if another instance holds the promotion lease.
-func (c *controller) awaitDuty(ctx context.Context) (Duty, bool) {
-	for ctx.Err() == nil {
-		c.renewDuty(ctx)
-		switch duty, self, _ := c.gw.peers.dutyHolder(); {
-		case !self:
-			return Duty{}, false
-		case c.mayAct():
-			return duty, true
-		}
-		sleep(ctx, promoteRetryInterval)
-	}
-	return Duty{}, false
-}
-
-// renewDuty renews this instance's claim before it acts, so that no other
-// instance can claim the promotion lease immediately afterwards. A claim that the
-// store has lost is made again.
-func (c *controller) renewDuty(ctx context.Context) {
-	gw := c.gw
-	duty, self, _ := gw.peers.dutyHolder()
-	lost := duty.Token.Era() < gw.eras.current()
-	if tenure, _ := gw.peers.dutyTenure(); !self || (tenure < dutyRenewAge && !lost) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, dutyRenewTimeout)
-	defer cancel()
-	renewed, err := Duty{}, error(ErrConflict)
-	if !lost {
-		renewed, err = gw.cfg.Store.ClaimDuty(ctx, duty, gw.cfg.ID, gw.started)
-	}
-	if errors.Is(err, ErrConflict) {
-		renewed, err = c.readDuty(ctx)
-		if err == nil && (renewed.IsVoid() || renewed.Holder == "") {
-			renewed, err = gw.cfg.Store.ClaimDuty(ctx, renewed, gw.cfg.ID, gw.started)
-		}
-	}
-	if err != nil {
-		gw.log.WithField("event", "duty").WithError(err).Info("cannot renew the claim of the promotion duty")
-		return
-	}
-	gw.peers.updateDuty(renewed)
-	if lost {
-		gw.log.WithFields(logrus.Fields{"event": "duty", "token": renewed.Token, "holder": renewed.Holder}).Info("promotion duty after the restoration of the store")
-	}
-}
-
 // awaitPrimary waits until the successor is primary and informs the other
 // instances.
 func (c *primaryChange) awaitPrimary(ctx context.Context, successor Member) (bool, error) {
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -109,7 +109,7 @@
 	case waitsIdle:
 		return !schedule.AcceptsTransactions(now)
 	case waitsInTransaction:
-		return !schedule.AcceptsAnything(now)
+		return !schedule.AwaitsTransactions(now)
 	default:
 		return false
 	}
--- /dev/null
+++ b/pkg/gateway/duty.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// dutyRenewAge is the age at which a holder renews its claim before it
+	// acts. dutyRenewTimeout bounds the renewal; if the store does not respond,
+	// no other instance can claim the promotion lease either.
+	dutyRenewAge     = 500 * time.Millisecond
+	dutyRenewTimeout = 300 * time.Millisecond
+)
+
+// mayAct reports whether this instance holds the promotion lease and may act on it. After
+// the store was restored, the claim must have been made again, and another holder may have
+// acted just before although its claim is lost. An instance that has heard from all others
+// since then knows of that holder.
+func (c *controller) mayAct() bool {
+	duty, self, _ := c.gw.peers.dutyHolder()
+	era, age := c.gw.eras.knownFor()
+	return self && duty.Token.Era() == era && (age >= minDutyTenure || c.gw.peers.heardFromAll(age))
+}
+
+// awaitDuty renews this instance's claim and returns it once the instance may act on it.
+// It returns false if another instance holds the promotion lease.
+func (c *controller) awaitDuty(ctx context.Context) (Duty, bool) {
+	for ctx.Err() == nil {
+		c.renewDuty(ctx)
+		switch duty, self, _ := c.gw.peers.dutyHolder(); {
+		case !self:
+			return Duty{}, false
+		case c.mayAct():
+			return duty, true
+		}
+		sleep(ctx, promoteRetryInterval)
+	}
+	return Duty{}, false
+}
+
+// renewDuty renews this instance's claim before it acts, so that no other
+// instance can claim the promotion lease immediately afterwards. A claim that the
+// store has lost is made again.
+func (c *controller) renewDuty(ctx context.Context) {
+	gw := c.gw
+	duty, self, _ := gw.peers.dutyHolder()
+	lost := duty.Token.Era() < gw.eras.current()
+	if tenure, _ := gw.peers.dutyTenure(); !self || (tenure < dutyRenewAge && !lost) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, dutyRenewTimeout)
+	defer cancel()
+	renewed, err := Duty{}, error(ErrConflict)
+	if !lost {
+		renewed, err = gw.cfg.Store.ClaimDuty(ctx, duty, gw.cfg.ID, gw.started)
+	}
+	if errors.Is(err, ErrConflict) {
+		renewed, err = c.readDuty(ctx)
+		if err == nil && (renewed.IsVoid() || renewed.Holder == "") {
+			renewed, err = gw.cfg.Store.ClaimDuty(ctx, renewed, gw.cfg.ID, gw.started)
+		}
+	}
+	if err != nil {
+		gw.log.WithField("event", "duty").WithError(err).Info("cannot renew the claim of the promotion duty")
+		return
+	}
+	gw.peers.updateDuty(renewed)
+	if lost {
+		gw.log.WithFields(logrus.Fields{"event": "duty", "token": renewed.Token, "holder": renewed.Holder}).Info("promotion duty after the restoration of the store")
+	}
+}
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -78,7 +78,7 @@
 	_, _, _, acknowledged := c.pool.snapshot()
 	c.noteAcknowledged(acknowledged)
 	complete := false
-	if promotion.LacksReplicaLogs(candidates, c.primary) {
+	if promotion.NeedsCompleteKnowledge(candidates, c.primary) {
 		answers := c.askInstances(ctx)
 		unreported := c.controller.gw.peers.unreported(time.Now())
 		complete = answers.allAnswered && answers.votes.Reachable == 0 && unreported == ""
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -158,7 +158,7 @@
 		s.gw.requests.record(requestRecord{id: st.ID, database: s.startup.Database, kind: "malformed", err: e})
 		return s.client.AnswerError(e, s.state) == nil && !e.Fatal
 	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &netErr) && netErr.Timeout()):
-		if schedule := s.gw.stopSchedule(); !schedule.AcceptsTransactions(time.Now()) && (s.state == statement.Idle || !schedule.AcceptsAnything(time.Now())) {
+		if schedule := s.gw.stopSchedule(); !schedule.AcceptsTransactions(time.Now()) && (s.state == statement.Idle || !schedule.AwaitsTransactions(time.Now())) {
 			return true // serveNext closes the session unless a statement has arrived
 		}
 		// An idle transaction is rolled back to free its connection; the
