Share the selection of peers' clients, and shorten two lines

The peers that are asked for their commits and the live peers were selected by two copies of one loop.

--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -170,8 +170,9 @@
 //
 // A commit is acknowledged once the primary and one replica have it. If all replicas have
 // answered, the highest position among them therefore covers all acknowledged commits. If
-// not, or if fewer than minReplicaLogs are left, a replica that did not answer may be the only one that has
-// received some of them. Choose then requires one of two proofs:
+// one is silent, or fewer than minReplicaLogs are left, a replica whose log is not at hand
+// may be the only one that has received some of them. Choose then requires one of two
+// proofs:
 //
 //   - the log of the primary, if the primary answered: the promoted member must have all of
 //     it. A primary that runs is not replaced by a member that is behind.
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -93,18 +93,7 @@
 
 // reporters returns the clients of the peers that may be running, by ID. Unlike clients, it
 // includes those that are leaving: they still run statements.
-func (ps *peers) reporters() map[string]pb.Gate {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	now := time.Now()
-	out := map[string]pb.Gate{}
-	for id, p := range ps.byID {
-		if p.mayReport(now) {
-			out[id] = p.client
-		}
-	}
-	return out
-}
+func (ps *peers) reporters() map[string]pb.Gate { return ps.selectClients((*peer).mayReport) }
 
 // mayReport reports whether the peer may be running and in touch with this instance.
 func (p *peer) mayReport(now time.Time) bool {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -219,13 +219,16 @@
 }
 
 // clients returns the clients of the live peers, by ID.
-func (ps *peers) clients() map[string]pb.Gate {
+func (ps *peers) clients() map[string]pb.Gate { return ps.selectClients((*peer).alive) }
+
+// selectClients returns the clients of the accepted peers, by ID.
+func (ps *peers) selectClients(accept func(*peer, time.Time) bool) map[string]pb.Gate {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := time.Now()
 	out := map[string]pb.Gate{}
 	for id, p := range ps.byID {
-		if p.alive(now) {
+		if accept(p, now) {
 			out[id] = p.client
 		}
 	}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -217,7 +217,8 @@
 	tx := s.tx
 	isWrite := s.isWrite(st)
 	tx.hasWritten = tx.hasWritten || isWrite
-	reply, err := s.relay(ctx, tx.peer, tx.pool, tx.member, st, begin, begin && tx.uncharged, time.Until(s.gw.answerDeadline(time.Now().Add(statementTimeout(tx.route)))), rec)
+	deadline := s.gw.answerDeadline(time.Now().Add(statementTimeout(tx.route)))
+	reply, err := s.relay(ctx, tx.peer, tx.pool, tx.member, st, begin, begin && tx.uncharged, time.Until(deadline), rec)
 	e := new(verdict.Error)
 	switch {
 	case err == nil:
