Pause no replica again once a promotion has been ordered

Change: after an order the replicas are only asked whether they are still paused. One that is not counts as not having answered.

The spec "pauses no replica again once a promotion has been ordered" failed before and passes.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -276,11 +276,24 @@
 // errUnprovenSuccessor means that the successor may lack acknowledged commits.
 var errUnprovenSuccessor = errors.New("the successor may lack acknowledged commits")
 
-// reconfirmSuccessor confirms the successor again, unless an earlier order has made it
-// primary.
-func (c *primaryChange) reconfirmSuccessor(ctx context.Context, successor Member) bool {
+// stillConfirmed reports whether the successor still holds every commit after a promotion
+// has been ordered. It pauses no replica again: the promotion may have been carried out
+// meanwhile, and a replica that is paused after that stays paused.
+func (c *primaryChange) stillConfirmed(ctx context.Context, successor Member) bool {
 	status, err := c.pool.controlCall(ctx, successor, statement.Statement{Kind: statement.Status})
-	return err == nil && (status.Role == group.Primary || c.confirmSuccessor(ctx, successor))
+	if err != nil || status.Role == group.Primary {
+		return err == nil
+	}
+	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
+		return statement.Statement{Kind: statement.Status}, m.ID != successor.ID && (m.ID != c.primary || c.asksPrimary())
+	})
+	for id, s := range statuses {
+		if id != c.primary && s.PausedTerm == 0 {
+			delete(statuses, id) // the replica has restarted, and may receive commits
+		}
+	}
+	members, _, _, _ := c.pool.snapshot()
+	return c.awaitCatchUp(ctx, members, successor, statuses)
 }
 
 // orderPromotion orders the promotion until the platform responds, because an
@@ -293,13 +306,15 @@
 		if !ok {
 			return false, errNotDutyHolder
 		}
-		if time.Since(c.confirmedAt) > maxSuccessorProofAge && !c.reconfirmSuccessor(ctx, successor) {
-			c.log().WithField("successor", successor.ID).Info("the successor may lack commits by now; promotion not ordered")
+		if time.Since(c.confirmedAt) > maxSuccessorProofAge {
 			if !c.promotionOrdered {
-				return false, errUnprovenSuccessor
+				return false, errUnprovenSuccessor // the change begins anew
+			}
+			if !c.stillConfirmed(ctx, successor) {
+				c.log().WithField("successor", successor.ID).Info("the successor may lack commits by now; the order is not repeated")
+				sleep(ctx, promoteRetryInterval)
+				continue
 			}
-			sleep(ctx, promoteRetryInterval)
-			continue
 		}
 		c.promotionOrdered = true
 		promoteCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -233,6 +234,20 @@
 		refusing.RefuseControls(0)
 		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).ShouldNot(Equal(primary.ID))
 	})
+	// Guards against replicas that are paused again while an order may be carried out: one that
+	// is paused after the promotion stays paused.
+	It("pauses no replica again once a promotion has been ordered", func() {
+		d := newDeployment(1, 10000)
+		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
+		primary := d.group.Primary()
+		pauses := func() int { return d.group.Members()[1].Pauses() + d.group.Members()[2].Pauses() }
+		var atOrder atomic.Int64
+		d.promotions.DelayNextOrder(2*time.Second, func() { atOrder.Store(int64(pauses())) })
+		d.store.PutMember(primary, "draining")
+		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).ShouldNot(Equal(primary.ID))
+		Expect(atOrder.Load()).To(BeNumerically(">", 0))
+		Consistently(pauses, time.Second, pollInterval).Should(BeEquivalentTo(atOrder.Load()))
+	})
 	// Guards against replicas that stay paused because one refusal ends the attempt to resume
 	// them.
 	It("resumes a replica that refuses at first", func() {
