Check that relayed statements are answered at a planned stop

A user's record shows a statement that was relayed and run, and whose client's connection ended without an answer around SIGTERM. No test relayed statements at a stop.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -45,8 +45,9 @@
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
 	relayedLines atomic.Int64
-	// usageCalls counts the calls between instances that concern usage reports.
-	usageCalls atomic.Int64
+	// usageCalls counts the calls between instances that concern usage reports, and
+	// relayedStatements those that relay a statement.
+	usageCalls, relayedStatements atomic.Int64
 }
 
 type instance struct {
@@ -107,25 +108,27 @@
 	return nil
 }
 
-// usageCallCounter counts the calls that concern usage reports on a listener.
-type usageCallCounter struct {
+// callCounter counts the calls of peers on a listener, by the end of their paths.
+type callCounter struct {
 	net.Listener
-	calls *atomic.Int64
+	calls map[string]*atomic.Int64
 }
 
-func (l usageCallCounter) Accept() (net.Conn, error) {
+func (l callCounter) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return usageCallConn{c, l.calls}, err
+	return callCountingConn{c, l.calls}, err
 }
 
-type usageCallConn struct {
+type callCountingConn struct {
 	net.Conn
-	calls *atomic.Int64
+	calls map[string]*atomic.Int64
 }
 
-func (c usageCallConn) Read(b []byte) (int, error) {
+func (c callCountingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.calls.Add(int64(bytes.Count(b[:n], []byte("Usage HTTP/1.1"))))
+	for path, calls := range c.calls {
+		calls.Add(int64(bytes.Count(b[:n], []byte(path+" HTTP/1.1"))))
+	}
 	return n, err
 }
 
@@ -178,7 +181,7 @@
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: true,
-		ClientListener: clients, PeerListener: usageCallCounter{peerListener{peers, i}, &d.usageCalls}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
+		ClientListener: clients, PeerListener: callCounter{peerListener{peers, i}, map[string]*atomic.Int64{"Usage": &d.usageCalls, "/Run": &d.relayedStatements}}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
 		ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
