Log statements whose clients get no answer

A client whose connection ends around a stop has a request id, and no line of any instance named it: failed writes of answers were dropped without a line, and the line 'drained' counted sessions, not statements.

Each session now says whether it runs a statement, writes its answer or waits. An instance that ends logs each statement that has no answer with its stage; an answer that cannot be written is logged with its cause and counted. This tells apart an answer that never arrived, one that was not written, and a session that the stop did not wait for. No logic changes.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -66,46 +66,28 @@
 	return len(g.pools) > 0
 }
 
-// sessionWait says what a session waits for.
-type sessionWait uint8
-
-const (
-	// notWaiting sessions run or answer a statement.
-	notWaiting sessionWait = iota
-	// waitsIdle sessions wait for a statement outside a transaction.
-	waitsIdle
-	// waitsInTransaction sessions wait for a statement of an open or failed transaction.
-	waitsInTransaction
-)
-
 // beginWait marks the session as waiting for a statement. It returns false if the instance
 // is closing such sessions and this one should close. A statement that has begun to arrive
 // is still read.
 func (g *Gateway) beginWait(s *session) bool {
 	g.sessionsMu.Lock()
 	defer g.sessionsMu.Unlock()
-	wait := waitsInTransaction
+	stage := waitsInTransaction
 	if s.state == statement.Idle {
-		wait = waitsIdle
+		stage = waitsIdle
 	}
-	if g.closesWaiting(wait, time.Now()) && !s.client.HasInput() {
+	if g.closesWaiting(stage, time.Now()) && !s.client.HasInput() {
 		delete(g.sessions, s)
 		return false
 	}
-	g.sessions[s] = wait
+	g.sessions[s] = sessionProgress{stage: stage}
 	return true
 }
 
-func (g *Gateway) endWait(s *session) {
-	g.sessionsMu.Lock()
-	defer g.sessionsMu.Unlock()
-	g.sessions[s] = notWaiting
-}
-
 // closesWaiting reports whether the instance closes sessions that wait.
-func (g *Gateway) closesWaiting(wait sessionWait, now time.Time) bool {
+func (g *Gateway) closesWaiting(stage sessionStage, now time.Time) bool {
 	schedule := g.stopSchedule()
-	switch wait {
+	switch stage {
 	case waitsIdle:
 		return !schedule.AcceptsTransactions(now)
 	case waitsInTransaction:
@@ -121,8 +103,8 @@
 	g.sessionsMu.Lock()
 	defer g.sessionsMu.Unlock()
 	now := time.Now()
-	for s, wait := range g.sessions {
-		if g.closesWaiting(wait, now) {
+	for s, progress := range g.sessions {
+		if g.closesWaiting(progress.stage, now) {
 			if err := s.client.SetReadDeadline(now); err != nil {
 				g.log.WithField("event", "drain").WithError(err).Debug("cannot interrupt a session; it has ended")
 			}
@@ -173,12 +155,6 @@
 	return notRun(verdict.ShuttingDown, "the instance is shutting down; use another one")
 }
 
-func (g *Gateway) removeSession(s *session) {
-	g.sessionsMu.Lock()
-	defer g.sessionsMu.Unlock()
-	delete(g.sessions, s)
-}
-
 // workLeft returns the number of sessions, open transactions of peers, and statements that
 // run for peers.
 func (g *Gateway) workLeft() int {
@@ -213,7 +189,8 @@
 	left := len(g.sessions)
 	g.sessionsMu.Unlock()
 	g.log.WithFields(logrus.Fields{
-		"event": "drained", "sessions": left, "relayedTransactions": g.relayedSessions.count(), "relayedStatements": g.relayedSessions.running.Load(),
+		"event": "drained", "sessions": left, "unanswered": g.logUnanswered(time.Now()),
+		"relayedTransactions": g.relayedSessions.count(), "relayedStatements": g.relayedSessions.running.Load(),
 	}).Info("drained")
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -117,7 +117,7 @@
 	pools   map[string]*pool // guarded by poolsMu
 
 	sessionsMu sync.Mutex
-	sessions   map[*session]sessionWait // guarded by sessionsMu
+	sessions   map[*session]sessionProgress // guarded by sessionsMu
 	draining   atomic.Bool
 	// stopping is the schedule of the stop; nil until one is requested.
 	stopping atomic.Pointer[shutdown.Schedule]
@@ -153,7 +153,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, started: time.Now().UnixMilli(), log: cfg.Log,
-		pools: map[string]*pool{}, sessions: map[*session]sessionWait{},
+		pools: map[string]*pool{}, sessions: map[*session]sessionProgress{},
 		interruptOperatorsPoll: make(chan struct{}, 1), interruptMembersPoll: make(chan struct{}, 1), relistInstances: make(chan struct{}, 1),
 	}
 	g.configLease.MaxAge = cfg.RevocationBound - configLeaseMargin
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -47,6 +47,9 @@
 	err      *verdict.Error
 	// limit is the state of the workspace's limit that refused the statement.
 	limit *quota.State
+	// undelivered is why the answer could not be written to the client, in a second record
+	// of the statement.
+	undelivered error
 }
 
 // noteConfiguration records the configuration under which the statement was
@@ -102,7 +105,11 @@
 		case <-l.done:
 			return
 		case r := <-l.records:
-			l.observeMetrics(&r)
+			if r.undelivered == nil {
+				l.observeMetrics(&r)
+			} else {
+				l.countUndelivered()
+			}
 			if now := time.Now(); now.Sub(windowStart) >= time.Second {
 				if dropped := l.dropped.Swap(0); dropped > 0 {
 					l.log.WithFields(logrus.Fields{"event": "lines-left-out", "count": dropped}).Info("request log lines dropped")
@@ -110,7 +117,7 @@
 				windowStart, successes, failures = now, 0, 0
 			}
 			count, limit := &successes, successesPerSecond
-			if r.err != nil || r.took >= slowRequest {
+			if r.err != nil || r.undelivered != nil || r.took >= slowRequest {
 				count, limit = &failures, failuresPerSecond
 			}
 			if *count++; *count > limit {
@@ -133,6 +140,13 @@
 	l.stats.Observe(r.workspace, r.route, r.took, outcome)
 }
 
+// countUndelivered counts an answer that could not be written to its client.
+func (l *requestLog) countUndelivered() {
+	if l.stats != nil {
+		l.stats.Scope().Counter("undelivered_answers").Inc(1)
+	}
+}
+
 // countUnusableGroup counts a group that was found to have no usable member.
 func (l *requestLog) countUnusableGroup() {
 	if l.stats != nil {
@@ -160,6 +174,11 @@
 	if !r.floor.IsZero() {
 		fields["floor"] = r.floor.String()
 	}
+	if r.undelivered != nil {
+		fields["event"], fields["cause"] = "undelivered", r.undelivered.Error()
+		l.log.WithFields(fields).Info("the answer could not be written to the client")
+		return
+	}
 	if r.err == nil {
 		l.log.WithFields(fields).Info("answered")
 		return
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -140,7 +140,7 @@
 		return false
 	}
 	st, err := s.client.NextStatement(deadline)
-	s.gw.endWait(s)
+	s.gw.noteProgress(s, running, st.ID)
 	if err != nil {
 		return s.handleReadError(st, err)
 	}
@@ -155,8 +155,8 @@
 	switch {
 	case errors.As(err, &e):
 		s.failTransaction()
-		s.gw.requests.record(requestRecord{id: st.ID, database: s.startup.Database, kind: "malformed", err: e})
-		return s.client.AnswerError(e, s.state) == nil && !e.Fatal
+		rec := requestRecord{id: st.ID, database: s.startup.Database, kind: "malformed", started: time.Now(), err: e}
+		return s.answer(statement.Reply{}, rec) == nil && !e.Fatal
 	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &netErr) && netErr.Timeout()):
 		if schedule := s.gw.stopSchedule(); !schedule.AcceptsTransactions(time.Now()) && (s.state == statement.Idle || !schedule.AwaitsTransactions(time.Now())) {
 			return true // serveNext closes the session unless a statement has arrived
@@ -201,14 +201,28 @@
 	reply, err := s.execute(ctx, st, &rec)
 	rec.took = time.Since(started)
 	rec.noteConfiguration(s.gw)
-	if err == nil {
-		s.gw.requests.record(rec)
-		return s.client.Answer(reply, s.state)
+	if err != nil {
+		rec.err = verdict.FromError(err)
 	}
-	e := verdict.FromError(err)
-	rec.err = e
+	return s.answer(reply, rec)
+}
+
+// answer records the statement and writes its answer. An error means that the client has no
+// complete answer.
+func (s *session) answer(reply statement.Reply, rec requestRecord) error {
+	s.gw.noteProgress(s, answering, rec.id)
 	s.gw.requests.record(rec)
-	return s.client.AnswerError(e, s.state)
+	err := error(nil)
+	if rec.err == nil {
+		err = s.client.Answer(reply, s.state)
+	} else {
+		err = s.client.AnswerError(rec.err, s.state)
+	}
+	if err != nil {
+		rec.undelivered = err
+		s.gw.requests.record(rec)
+	}
+	return err
 }
 
 // execute runs or refuses one statement.
