Answer statements that began before a stop and outlast it

Callers lost their connection without an answer, or learned nothing of a write, if a statement had been sent before SIGTERM and its member or peer was still silent when the instance ended: the statement's deadline was fixed when it began, and the stop bounds only those that begin later.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -19,6 +19,10 @@
 	p.mu.Lock()
 	for {
 		now := time.Now()
+		if ctx.Err() != nil {
+			p.mu.Unlock()
+			return nil, p.queueFullError("the instance is shutting down")
+		}
 		if !now.Before(req.deadline) {
 			p.mu.Unlock()
 			return nil, p.queueFullError("no connection in time")
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -143,6 +143,20 @@
 	p.onEvent(poolEvent{group: p.name, member: m.ID})
 }
 
+// interruptStatements ends the wait for the members' answers to all statements in progress.
+func (p *pool) interruptStatements() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		for c := range m.running {
+			if !c.busySince.IsZero() {
+				c.closed = true
+				c.Interrupt()
+			}
+		}
+	}
+}
+
 // markUp returns a member to service. The caller holds p.mu.
 func (p *pool) markUp(m *poolMember, now time.Time) {
 	m.noteAnswer(now)
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -167,7 +167,7 @@
 // drain shuts the instance down. It announces the departure, waits until the
 // platform sends no more clients, closes idle sessions, and gives open
 // transactions until shortly before the end of the grace period. Statements that
-// are running then get an answer before drain returns.
+// are running then get an answer before drain returns, whatever their own timeouts.
 func (g *Gateway) drain(ctx context.Context) {
 	schedule := shutdown.NewSchedule(time.Now(), g.cfg.GracePeriod, readinessDelay)
 	g.stopping.Store(&schedule)
@@ -175,8 +175,11 @@
 	g.log.WithFields(logrus.Fields{"event": "drain"}).Info("draining")
 	g.peers.announceLeave(ctx)
 	time.Sleep(time.Until(schedule.CloseIdle))
-	for time.Now().Before(schedule.End) {
+	for now := time.Now(); now.Before(schedule.End); now = time.Now() {
 		g.interruptWaiting()
+		if !schedule.AwaitsTransactions(now) {
+			g.abandonRunning()
+		}
 		if g.workLeft() == 0 {
 			break
 		}
@@ -194,6 +197,13 @@
 	}).Info("drained")
 }
 
+// abandonRunning ends the wait of all statements for members and peers, so that their clients
+// get an answer. It is called repeatedly, since a statement may just be about to be sent.
+func (g *Gateway) abandonRunning() {
+	g.abandonStatements()
+	g.forEachPool((*pool).interruptStatements)
+}
+
 // closePeerServer waits until the answers to peers have been written.
 func (g *Gateway) closePeerServer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -57,6 +57,47 @@
 		Expect(cut.Load()).To(BeZero(), "statements whose connection ended without an answer")
 		Expect(answered.Load()).To(BeNumerically(">", sessions))
 	})
+	// Guards against statements that began before the stop and wait for a member for longer
+	// than the grace period: their clients lost the connection without an answer.
+	DescribeTable("answers statements that wait for silent members",
+		func(text string, options ...func(*deployment)) {
+			d := newDeployment(2, 10000, append(options, func(d *deployment) { d.config.StatementTimeout = 20 * time.Second })...)
+			for _, i := range d.instances {
+				Expect(i.queryOnce("orders", "k1", "WRITE x 1")).To(HavePrefix("DONE"))
+			}
+			var clients []*client
+			for _, i := range d.instances {
+				clients = append(clients, i.session("orders", "k1"), i.session("orders", "k1"))
+			}
+			for _, c := range clients[1:] {
+				Expect(c.query("BEGIN")[0]).To(HavePrefix("DONE"))
+				Expect(c.query("READ x")[0]).To(HavePrefix("ROW"))
+			}
+			for _, m := range d.group.Members() {
+				m.SetUnresponsive(true)
+			}
+			answers := make(chan string, len(clients))
+			for _, c := range clients {
+				go func() {
+					defer GinkgoRecover()
+					answers <- c.query(text)[0]
+				}()
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, i := range d.instances {
+				i.stop()
+			}
+			for range clients {
+				var got string
+				Eventually(answers, eventualTimeout).Should(Receive(&got))
+				Expect(got).To(HavePrefix("ERR"))
+			}
+		},
+		Entry("for writes, served by group", "WRITE x 2"),
+		Entry("for reads, served by group", "READ x"),
+		Entry("for writes, served by member", "WRITE x 2", servedByMember),
+		Entry("for reads, served by member", "READ x", servedByMember),
+	)
 	// Guards against accepting work that would be cut off.
 	It("refuses sessions and transactions once idle sessions are closed", func() {
 		d := newDeployment(2, 10000, func(d *deployment) { d.gracePeriod = 9 * time.Second })
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -45,6 +45,8 @@
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
 	relayedLines atomic.Int64
+	// wrapClients, if set, wraps the listeners for clients.
+	wrapClients func(gateway.Listener) gateway.Listener
 	// usageCalls counts the calls between instances that concern usage reports, and
 	// relayedStatements those that relay a statement.
 	usageCalls, relayedStatements atomic.Int64
@@ -170,8 +172,12 @@
 }
 
 func (d *deployment) start(id string) *instance {
-	clients, err := platform.ListenClients("127.0.0.1:0")
+	clientListener, err := platform.ListenClients("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	clients := gateway.Listener(clientListener)
+	if d.wrapClients != nil {
+		clients = d.wrapClients(clients)
+	}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
 	log.AddHook(relayHook{&d.relayedLines})
@@ -186,7 +192,7 @@
 		Log: logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	i.address, i.stop = clients.Addr().String(), cancel
+	i.address, i.stop = clientListener.Addr().String(), cancel
 	d.instances = append(d.instances, i)
 	go func() { i.ended <- g.Run(ctx) }()
 	return i
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -121,6 +121,10 @@
 	draining   atomic.Bool
 	// stopping is the schedule of the stop; nil until one is requested.
 	stopping atomic.Pointer[shutdown.Schedule]
+	// statementCtx ends when the instance no longer waits for members and peers, which
+	// abandonStatements makes it do.
+	statementCtx      context.Context
+	abandonStatements context.CancelFunc
 	// peerServer serves the other instances.
 	peerServer *http.Server
 	running    sync.WaitGroup
@@ -156,6 +160,7 @@
 		pools: map[string]*pool{}, sessions: map[*session]sessionProgress{},
 		interruptOperatorsPoll: make(chan struct{}, 1), interruptMembersPoll: make(chan struct{}, 1), relistInstances: make(chan struct{}, 1),
 	}
+	g.statementCtx, g.abandonStatements = context.WithCancel(context.Background())
 	g.configLease.MaxAge = cfg.RevocationBound - configLeaseMargin
 	g.relayedSessions.sessions = map[string]*relayedSession{}
 	g.requests = newRequestLog(cfg.Log, cfg.Metrics)
@@ -175,6 +180,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
+	defer g.abandonStatements()
 	failed := make(chan error, 4)
 	g.serveHTTP(failed)
 	g.spawn(func() { g.controller.run(workCtx) })
@@ -230,7 +236,7 @@
 			continue
 		}
 		s := &session{gw: g, client: c}
-		go s.run(ctx)
+		go s.run(g.statementCtx)
 	}
 }
 
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -66,6 +66,8 @@
 	Receive() (statement.Reply, error)
 	// IsStale reports whether the member has closed an idle connection.
 	IsStale() bool
+	// Interrupt makes Send and Receive fail. Any goroutine may call it.
+	Interrupt()
 	Close()
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -296,7 +296,7 @@
 }
 
 // Run runs a statement for a client of a peer.
-func (ps *peers) Run(ctx context.Context, r *pb.RunRequest) (*pb.RunResponse, error) {
+func (ps *peers) Run(_ context.Context, r *pb.RunRequest) (*pb.RunResponse, error) {
 	g := ps.gw
 	g.relayedSessions.running.Add(1)
 	defer g.relayedSessions.running.Add(-1)
@@ -304,7 +304,7 @@
 	rec := requestRecord{id: r.Id, database: r.Database, kind: st.Kind.String(), started: time.Now(), relay: r.From}
 	// Cancelling the peer's call must not cancel a statement in progress,
 	// since its outcome decides the state of the session's transaction.
-	ctx = context.WithoutCancel(ctx)
+	ctx := g.statementCtx
 	if r.Transaction == 0 {
 		s := &session{gw: g, isRelayed: true, chargeRelayed: r.Charge}
 		s.loadRelayed(r)
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -60,6 +60,7 @@
 	return statement.Reply{Signature: c.id}, nil
 }
 func (c *pausableMember) IsStale() bool { return false }
+func (c *pausableMember) Interrupt()    {}
 func (c *pausableMember) Close()        {}
 
 // A change of primary that has paused a replica and then finds that another
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -180,7 +180,7 @@
 // failed records that the destination did not run the statement. It returns false if the
 // statement must not be tried again.
 func (m *memberSearch) failed(ctx context.Context, at destination, err error) bool {
-	if !mayRunElsewhere(err, m.isRead) {
+	if ctx.Err() != nil || !mayRunElsewhere(err, m.isRead) {
 		return false
 	}
 	atPeer := errors.Is(err, errNotRunAtPeer)
