Write answers to the end before a stopping instance exits

Callers got a part of an answer, or none, if it was still being written 0.5 s before the end of the grace period, to a client that reads slowly or on an instance that is short of processor time: the drain ended at its deadline, whatever its sessions did, and the process with it.

A stop now waits for the answers that its clients are owed, until 0.15 s before the grace period ends. The last calls to peers are made at the same time rather than one after the other.

--- a/core/shutdown/schedule.go
+++ b/core/shutdown/schedule.go
@@ -5,8 +5,9 @@
 import "time"
 
 const (
-	// exitMargin is the part of the grace period that is left for the process to end.
-	exitMargin = 500 * time.Millisecond
+	// exitMargin is the part of the grace period that is left for the process to end, and
+	// killMargin that which is left if it still writes answers.
+	exitMargin, killMargin = 500 * time.Millisecond, 150 * time.Millisecond
 	// answerMargin is the time before End in which answers are written and connections
 	// closed.
 	answerMargin = 200 * time.Millisecond
@@ -28,8 +29,9 @@
 	// LastAnswer is when the wait for members ends, whatever a statement's own timeout, so
 	// that the client gets an answer.
 	LastAnswer time.Time
-	// End is when the instance ends.
-	End time.Time
+	// End is when the instance ends, and Exit when it does so although answers are still
+	// being written.
+	End, Exit time.Time
 }
 
 // NewSchedule returns the schedule of a stop that was requested at started and must be
@@ -37,7 +39,10 @@
 // clients.
 func NewSchedule(started time.Time, grace, readinessDelay time.Duration) Schedule {
 	end := started.Add(max(grace-exitMargin, 0))
-	s := Schedule{CloseIdle: started.Add(readinessDelay), LastStatement: end.Add(-statementReserve), LastAnswer: end.Add(-answerMargin), End: end}
+	s := Schedule{
+		CloseIdle: started.Add(readinessDelay), LastStatement: end.Add(-statementReserve), LastAnswer: end.Add(-answerMargin),
+		End: end, Exit: started.Add(max(grace-killMargin, 0)),
+	}
 	if s.LastStatement.Before(s.CloseIdle) {
 		s.CloseIdle = s.LastStatement // the grace period is short
 	}
--- a/core/shutdown/schedule_test.go
+++ b/core/shutdown/schedule_test.go
@@ -17,7 +17,8 @@
 	g := NewWithT(t)
 	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 6 * time.Second, time.Minute} {
 		s := shutdown.NewSchedule(started, grace, 2300*time.Millisecond)
-		g.Expect(s.End).To(BeTemporally("<", started.Add(grace)))
+		g.Expect(s.End).To(BeTemporally("<", s.Exit))
+		g.Expect(s.Exit).To(BeTemporally("<", started.Add(grace)))
 		for at := time.Duration(0); at < grace; at += 50 * time.Millisecond {
 			now := started.Add(at)
 			deadline := s.AnswerBefore(now.Add(2 * time.Second))
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 	// drainPollInterval is the interval between checks of the remaining
 	// sessions.
 	drainPollInterval = 50 * time.Millisecond
+	// exitPollInterval is the same for the remaining answers.
+	exitPollInterval = 10 * time.Millisecond
 	// stopTimeout bounds the last message to the peers and the wait for answers that are
 	// being written to them. It follows the end of the schedule and fits into the rest of
 	// the grace period.
@@ -186,8 +189,14 @@
 		time.Sleep(drainPollInterval)
 	}
 	_ = g.cfg.ClientListener.Close()
-	g.peers.announceStop(ctx)
-	g.closePeerServer(ctx)
+	var last sync.WaitGroup
+	last.Go(func() { g.peers.announceStop(ctx) })
+	last.Go(func() { g.closePeerServer(ctx) })
+	last.Wait()
+	for g.answersOwed() > 0 && time.Now().Before(schedule.Exit) {
+		g.abandonRunning()
+		time.Sleep(exitPollInterval)
+	}
 	g.sessionsMu.Lock()
 	left := len(g.sessions)
 	g.sessionsMu.Unlock()
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -8,8 +8,46 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/statement"
+	"github.com/mulberrysill/mulberrysill/pkg/gateway"
 )
 
+// holdTime is how long a holdingClient goes on to write an answer after the listener was
+// closed, which is at the end of the drain.
+const holdTime = 100 * time.Millisecond
+
+// holdingListener accepts clients that read their answers slowly while holds is set.
+type holdingListener struct {
+	gateway.Listener
+	holds     atomic.Bool
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func (l *holdingListener) AcceptClient() (gateway.Client, error) {
+	c, err := l.Listener.AcceptClient()
+	return holdingClient{c, l}, err
+}
+
+func (l *holdingListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type holdingClient struct {
+	gateway.Client
+	listener *holdingListener
+}
+
+func (c holdingClient) Answer(r statement.Reply, state statement.State) error {
+	if c.listener.holds.Load() {
+		<-c.listener.closed
+		time.Sleep(holdTime)
+	}
+	return c.Client.Answer(r, state)
+}
+
 var _ = Describe("a planned stop", func() {
 	// Guards against statements that are sent to a member shortly before the process ends and
 	// get no answer.
@@ -98,6 +136,27 @@
 		Entry("for writes, served by member", "WRITE x 2", servedByMember),
 		Entry("for reads, served by member", "READ x", servedByMember),
 	)
+	// Guards against answers of which a part is written when the process ends.
+	It("waits for answers that are being written as long as the grace period allows", func() {
+		listener := &holdingListener{closed: make(chan struct{})}
+		d := newDeployment(1, 10000, func(d *deployment) {
+			d.wrapClients = func(l gateway.Listener) gateway.Listener { listener.Listener = l; return listener }
+		})
+		entry := d.instances[0]
+		c := entry.session("orders", "k1")
+		Expect(c.query("BEGIN")[0]).To(HavePrefix("DONE"))
+		listener.holds.Store(true)
+		entry.stop()
+		answer := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer <- c.query("READ x")[0]
+		}()
+		Eventually(listener.closed, eventualTimeout).Should(BeClosed())
+		Consistently(entry.ended, 3*holdTime/4, holdTime/20).ShouldNot(Receive(), "the instance ended while it wrote an answer")
+		Eventually(answer, eventualTimeout).Should(Receive(HavePrefix("ROW")))
+		Eventually(entry.ended, eventualTimeout).Should(Receive())
+	})
 	// Guards against accepting work that would be cut off.
 	It("refuses sessions and transactions once idle sessions are closed", func() {
 		d := newDeployment(2, 10000, func(d *deployment) { d.gracePeriod = 9 * time.Second })
--- a/pkg/gateway/progress.go
+++ b/pkg/gateway/progress.go
@@ -48,6 +48,19 @@
 	delete(g.sessions, s)
 }
 
+// answersOwed returns the number of sessions whose clients wait for an answer.
+func (g *Gateway) answersOwed() int {
+	g.sessionsMu.Lock()
+	defer g.sessionsMu.Unlock()
+	count := 0
+	for _, progress := range g.sessions {
+		if progress.stage.owesAnswer() {
+			count++
+		}
+	}
+	return count
+}
+
 // maxUnansweredLines bounds the lines on statements that are cut off as the instance ends.
 const maxUnansweredLines = 50
 
