Wait for sessions that start before a stopping instance exits

A client whose START an instance had read could lose its connection without an answer: sessions were counted only once they waited for their first statement, so that a stop found no work left before. They are counted from their first message on, and no longer once they have been refused.

--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -21,10 +21,20 @@
 type holdingListener struct {
 	gateway.Listener
 	holds     atomic.Bool
+	holding   atomic.Int64
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
+// hold waits until the answer may be written.
+func (l *holdingListener) hold() {
+	if l.holds.Load() {
+		l.holding.Add(1)
+		<-l.closed
+		time.Sleep(holdTime)
+	}
+}
+
 func (l *holdingListener) AcceptClient() (gateway.Client, error) {
 	c, err := l.Listener.AcceptClient()
 	return holdingClient{c, l}, err
@@ -41,13 +51,15 @@
 }
 
 func (c holdingClient) Answer(r statement.Reply, state statement.State) error {
-	if c.listener.holds.Load() {
-		<-c.listener.closed
-		time.Sleep(holdTime)
-	}
+	c.listener.hold()
 	return c.Client.Answer(r, state)
 }
 
+func (c holdingClient) Ready() error {
+	c.listener.hold()
+	return c.Client.Ready()
+}
+
 var _ = Describe("a planned stop", func() {
 	// Guards against statements that are sent to a member shortly before the process ends and
 	// get no answer.
@@ -157,6 +169,28 @@
 		Eventually(answer, eventualTimeout).Should(Receive(HavePrefix("ROW")))
 		Eventually(entry.ended, eventualTimeout).Should(Receive())
 	})
+	// Guards against sessions that have been accepted, and that the stop does not wait for
+	// since they have sent no statement yet.
+	It("waits for sessions that start", func() {
+		listener := &holdingListener{closed: make(chan struct{})}
+		d := newDeployment(1, 10000, func(d *deployment) {
+			d.wrapClients = func(l gateway.Listener) gateway.Listener { listener.Listener = l; return listener }
+		})
+		entry := d.instances[0]
+		listener.holds.Store(true)
+		answer := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, got := entry.dial("orders", "k1")
+			answer <- got
+		}()
+		Eventually(listener.holding.Load, eventualTimeout).Should(BeNumerically("==", 1))
+		entry.stop()
+		Eventually(listener.closed, eventualTimeout).Should(BeClosed())
+		Consistently(entry.ended, 3*holdTime/4, holdTime/20).ShouldNot(Receive(), "the instance ended while a session started")
+		Eventually(answer, eventualTimeout).Should(Receive(HavePrefix("READY")))
+		Eventually(entry.ended, eventualTimeout).Should(Receive())
+	})
 	// Guards against accepting work that would be cut off.
 	It("refuses sessions and transactions once idle sessions are closed", func() {
 		d := newDeployment(2, 10000, func(d *deployment) { d.gracePeriod = 9 * time.Second })
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -92,6 +92,7 @@
 		return
 	}
 	s.startup = startup
+	s.gw.noteProgress(s, running, "")
 	if _, _, err := s.gw.authorize(startup); err != nil {
 		s.reject(verdict.FromError(err))
 		return
@@ -117,6 +118,7 @@
 	answer := *e
 	answer.Message += "; id " + rec.id
 	if s.client.Reject(&answer) == nil {
+		s.gw.removeSession(s)
 		s.client.DrainAndClose(closeDrainTimeout)
 	}
 }
