Catch signals before the settings are read

An instance that was told to reload while it started ended instead, with SIGHUP's default action: the signal was only caught once all listeners were open, in a goroutine that had yet to run. On a machine that is short of processor time that takes a while, and a planned reload in a series of restarts meets it.

Evidence: TestReloadDuringTheStartDoesNotEndTheProcess ended with 'signal: hangup' in three of three runs before, and passes in three of three now.

--- a/cmd/mulberrygate/main.go
+++ b/cmd/mulberrygate/main.go
@@ -53,6 +53,11 @@
 	cmd.Flags().StringVar(&path, "config", "", "settings file in YAML")
 	check := cmd.Flags().Bool("check", false, "check the settings and exit")
 	cmd.RunE = func(*cobra.Command, []string) error {
+		// Until a signal is caught, it ends the process, also one that has yet to start.
+		reloads := make(chan os.Signal, 1)
+		signal.Notify(reloads, syscall.SIGHUP)
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
 		settings, err := config.LoadGate(path)
 		if err != nil {
 			return err
@@ -62,7 +67,7 @@
 			return nil
 		}
 		code = exitFailure
-		if err = serve(path, settings); err == nil {
+		if err = serve(ctx, path, settings, reloads); err == nil {
 			code = 0
 		}
 		return err
@@ -74,7 +79,7 @@
 	return 0
 }
 
-func serve(path string, settings config.GateSettings) error {
+func serve(ctx context.Context, path string, settings config.GateSettings, reloads <-chan os.Signal) error {
 	log, err := logging.New(logging.NonBlocking(os.Stdout), settings.LogLevel, settings.ID, settings.Zone)
 	if err != nil {
 		return err
@@ -112,9 +117,7 @@
 			return err
 		}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go reload(path, log)
+	go reload(path, log, reloads)
 	return gateway.New(cfg).Run(ctx)
 }
 
@@ -123,12 +126,10 @@
 	return l, errors.Wrapf(err, "listen on %s", address)
 }
 
-// reload reads and validates the settings file on each SIGHUP and applies the log
-// level. Other settings take effect only after a restart.
-func reload(path string, log *logrus.Entry) {
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	for range reloadSignals {
+// reload reads and validates the settings file on each signal and applies the log level.
+// Other settings take effect only after a restart.
+func reload(path string, log *logrus.Entry, signals <-chan os.Signal) {
+	for range signals {
 		settings, err := config.LoadGate(path)
 		level, levelErr := logrus.ParseLevel(settings.LogLevel)
 		if err = errors.CombineErrors(err, levelErr); err != nil {
