Refuse statements that are on their way when a session is closed

A client whose statement crossed the close of its idle session got neither an answer nor a refusal, and for a write or a COMMIT did not learn whether it had run. The instance read such statements for up to 100 ms after it had closed its sending side, and dropped them.

A session that a stopping instance closes now ends with an error, as PostgreSQL's do: not run, use another instance; or the open transaction is rolled back. It is true of any statement that arrives later, since none is run. A client with no statement outstanding may get an error before the connection ends.

Evidence: the spec 'says that nothing was run when it closes a session' failed before ('closed') and passes now; 'refuses sessions and transactions once idle sessions are closed' now expects the error before the end.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -131,7 +131,7 @@
 	case schedule.AcceptsStatements(now):
 		return nil
 	case inTransaction:
-		return notRun(verdict.TransactionAborted, "the instance is shutting down; the transaction is rolled back")
+		return shutdownAbortedError()
 	default:
 		return g.shuttingDownError()
 	}
@@ -158,6 +158,11 @@
 	return notRun(verdict.ShuttingDown, "the instance is shutting down; use another one")
 }
 
+// shutdownAbortedError tells the client that its transaction ends with the instance.
+func shutdownAbortedError() *verdict.Error {
+	return notRun(verdict.TransactionAborted, "the instance is shutting down; the transaction is rolled back")
+}
+
 // workLeft returns the number of sessions, open transactions of peers, and statements that
 // run for peers.
 func (g *Gateway) workLeft() int {
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -205,7 +205,22 @@
 		Expect(answer).To(HavePrefix("ERR BUSY"))
 		Expect(c.query("READ x")[0]).To(HavePrefix("ROW"), "an open transaction goes on for half of the grace period")
 		Expect(c.query("COMMIT")[0]).To(HavePrefix("DONE"))
+		Expect(c.line()).To(HavePrefix("ERR BUSY"))
 		Expect(c.line()).To(Equal("closed"))
 		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
 	})
+	// Guards against clients that do not learn whether a statement has run that was on its way
+	// as their session was closed.
+	It("says that nothing was run when it closes a session", func() {
+		d := newDeployment(1, 10000)
+		idle, inTransaction := d.instances[0].session("orders", "k1"), d.instances[0].session("orders", "k1")
+		d.instances[0].stop()
+		time.Sleep(1500 * time.Millisecond)
+		Expect(inTransaction.query("BEGIN")[0]).To(HavePrefix("DONE"))
+		Expect(idle.line()).To(HavePrefix("ERR BUSY"))
+		Expect(idle.line()).To(Equal("closed"))
+		Expect(inTransaction.line()).To(HavePrefix("ERR ABORTED"))
+		Expect(inTransaction.line()).To(Equal("closed"))
+		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
+	})
 })
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -29,8 +29,8 @@
 type Client interface {
 	// ReadStartup reads the first message.
 	ReadStartup(deadline time.Time) (Startup, error)
-	// Ready accepts the session, Reject refuses it; the caller then closes the
-	// connection.
+	// Ready accepts the session. Reject refuses it, or ends it while no statement is
+	// outstanding; the caller then closes the connection.
 	Ready() error
 	Reject(*verdict.Error) error
 	// NextStatement reads a statement, until the deadline unless that is zero. A
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -138,6 +138,10 @@
 		deadline = s.gw.idleTransactionDeadline(time.Now())
 	}
 	if !s.gw.beginWait(s) {
+		// A statement that is on its way is not run, and its client takes this for the answer.
+		if err := s.client.Reject(s.closingError()); err != nil {
+			return false
+		}
 		s.client.DrainAndClose(closeDrainTimeout)
 		return false
 	}
@@ -149,6 +153,14 @@
 	return s.serve(ctx, st) == nil
 }
 
+// closingError tells the client of a waiting session that the instance closes it.
+func (s *session) closingError() *verdict.Error {
+	if s.state == statement.Idle {
+		return verdict.FromError(s.gw.shuttingDownError())
+	}
+	return shutdownAbortedError()
+}
+
 // handleReadError handles a malformed statement, a timeout or a broken
 // connection. It returns false if the session is over.
 func (s *session) handleReadError(st statement.Statement, err error) bool {
