--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -293,6 +293,7 @@
 		Expect(busy.query("WRITE a b")[0]).To(HavePrefix("DONE"))
 		d.instances[0].stop()
 		Expect(busy.query("COMMIT")[0]).To(HavePrefix("DONE"))
+		Expect(idle.line()).To(HavePrefix("ERR BUSY"))
 		Expect(idle.line()).To(Equal("closed"))
 		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive(BeNil()))
 	})
