End transactions whose key has moved to another workspace

What callers see: a key is given to another workspace while a session with the key is inside a transaction. Statements of the transaction, and its commit, ran for the former workspace up to 7 s later. Single statements did so if the key moved while they waited for a connection.

Cause: executeInTransaction and send authorized the client again before each statement, but dropped the workspace of the answer. Any holder of the key was enough.

Change: the key must belong to the workspace of the transaction, and to that of the connection on which a statement is sent. Otherwise the transaction is rolled back and the client gets ABORTED; a single statement gets ABORTED and has not run.

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -337,7 +337,7 @@
 		}
 		s.recordSetup(conn, setup)
 	}
-	if _, _, err := s.gw.authorize(s.startup); err != nil {
+	if err := s.gw.authorizeFor(s.startup, conn.workspace); err != nil {
 		return statement.Reply{}, false, err
 	}
 	if st.Kind == statement.Execute {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -257,6 +257,19 @@
 	return route, workspace, nil
 }
 
+// authorizeFor authorizes the client again for a statement that is about to run in the
+// workspace. It refuses the client if its key has moved to another workspace since.
+func (g *Gateway) authorizeFor(s Startup, workspace string) error {
+	_, current, err := g.authorize(s)
+	if err != nil {
+		return err
+	}
+	if current.Name != workspace {
+		return notRun(verdict.TransactionAborted, "the key has moved to another workspace")
+	}
+	return nil
+}
+
 func (g *Gateway) configLeaseValid() bool {
 	now := bootTime()
 	g.configLeaseMu.Lock()
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -33,9 +33,9 @@
 		s.endAfterError(st)
 		return statement.Reply{}, err
 	}
-	// A revoked key ends the transaction; a change of the route does not
-	// affect it.
-	if _, _, err := s.gw.authorize(s.startup); err != nil && verdict.FromError(err).Code != verdict.NoSuchRoute {
+	// A key that was revoked or moved ends the transaction; a change of the route does
+	// not affect it.
+	if err := s.gw.authorizeFor(s.startup, tx.workspace.Name); err != nil && verdict.FromError(err).Code != verdict.NoSuchRoute {
 		s.endAfterError(st)
 		return statement.Reply{}, err
 	}
