Refuse clients of a workspace whose name cannot be sent to members

What callers see: with a line break in the name of a workspace, each connection that is opened for it began a further message to the member, which no client has sent. A blank in the name shifted the fields behind it.

Cause: IDs and groups of members are validated when they are read, names of workspaces were not. The name is a field of START.

Change: clients of such a workspace are refused with a clear error. The rest of the configuration holds: refusing all of it would keep revoked keys in force. IsName moves from gateway to catalog, which both use.

Evidence: the spec in core/catalog fails without the change and passes with it. Read, not played at a member.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -5,7 +5,9 @@
 package catalog
 
 import (
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -146,9 +148,16 @@
 // anonymousWorkspace is the workspace of clients without a key on open routes.
 var anonymousWorkspace = &Workspace{Name: "anonymous"}
 
+// IsName reports whether the text can be a field of a message whose fields are separated by
+// blanks and which ends with the line.
+func IsName(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) })
+}
+
 // Authorize returns the route of the database and the workspace that owns the key.
 // On failure it returns a *verdict.Error with the verdict NotRun and the code
-// NoSuchRoute or AuthenticationFailed.
+// NoSuchRoute, AuthenticationFailed, or InvalidAuthorization for a workspace whose name
+// cannot be sent to members.
 func (c *Catalog) Authorize(database, key string) (*Route, *Workspace, error) {
 	route := c.routeByDatabase[database]
 	if route == nil {
@@ -161,5 +170,8 @@
 		}
 		workspace = anonymousWorkspace
 	}
+	if !IsName(workspace.Name) {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.InvalidAuthorization, "the name of workspace %q cannot be sent to members", workspace.Name)
+	}
 	return route, workspace, nil
 }
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -39,6 +39,24 @@
 		Entry("without a key on an open route", "news", "", "anonymous", verdict.Code("")),
 		Entry("for a database without a route", "none", "k1", "", verdict.NoSuchRoute),
 	)
+	// Guards against statements that no client has sent: the name is part of a message to
+	// each member, and a line break in it would begin a further message.
+	It("refuses only the clients of a workspace whose name cannot be sent to members", func() {
+		odd := spec
+		odd.Workspaces = append([]catalog.Workspace{{Name: "a\r\nQUERY 1 WRITE a b", Keys: []string{"k3"}}, {Name: "a b", Keys: []string{"k4"}}, {Keys: []string{"k5"}}}, spec.Workspaces...)
+		compiled, err := catalog.Compile(odd)
+		Expect(err).NotTo(HaveOccurred())
+		for _, key := range []string{"k3", "k4", "k5"} {
+			for _, database := range []string{"orders", "news"} {
+				_, _, err := compiled.Authorize(database, key)
+				Expect(verdict.FromError(err).Code).To(Equal(verdict.InvalidAuthorization), key)
+				Expect(verdict.FromError(err).Verdict).To(Equal(verdict.NotRun))
+			}
+		}
+		_, w, err := compiled.Authorize("orders", "k1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Name).To(Equal("coop"))
+	})
 	It("refuses a key that two workspaces share: clients of one would run as the other", func() {
 		twice := spec
 		twice.Workspaces = append(twice.Workspaces, catalog.Workspace{Name: "other", Keys: []string{"k1"}})
--- a/pkg/gateway/validate.go
+++ b/pkg/gateway/validate.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/netip"
-	"strings"
-	"unicode"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/mulberrysill/mulberrysill/core/catalog"
 )
 
 const (
@@ -22,9 +22,9 @@
 // is worse than none: the choice of a primary waits for its answer.
 func (m Member) Validate() error {
 	switch {
-	case !isName(m.ID):
+	case !catalog.IsName(m.ID):
 		return errors.Newf("member has the ID %q", m.ID)
-	case !isName(m.Group):
+	case !catalog.IsName(m.Group):
 		return errors.Newf("member %s has the group %q", m.ID, m.Group)
 	case m.Slots < 0 || m.Slots > maxSlots:
 		return errors.Newf("member %s has %d slots", m.ID, m.Slots)
@@ -39,7 +39,7 @@
 // Validate reports why no instance can have written the entry.
 func (i Instance) Validate() error {
 	switch {
-	case !isName(i.ID):
+	case !catalog.IsName(i.ID):
 		return errors.Newf("instance has the ID %q", i.ID)
 	case i.Started < 0 || i.Started > MaxExactInteger:
 		return errors.Newf("instance %s has the start time %d", i.ID, i.Started)
@@ -49,12 +49,6 @@
 	return errors.Wrapf(validateAddress(i.PeerAddress), "instance %s", i.ID)
 }
 
-// isName reports whether the text can be a field of a protocol whose fields are separated by
-// blanks and whose messages end with the line.
-func isName(text string) bool {
-	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) })
-}
-
 // validateAddress accepts an IP address with a port that can be connected to. Names are not
 // looked up.
 func validateAddress(address string) error {
