Finish a change of primary that may have been ordered before

What callers see: acknowledged commits are missing after a holder of the promotion lease stopped while its order had no answer, or after a change that ordered was followed by one that did not.

Cause: an order without an answer may be carried out seconds later, but was remembered only by the change that sent it. - A new holder ordered the present primary, to raise the fence, while its own change ordered a replica. Either order may be carried out last. - A later change of the same holder, when abandoned, resumed the replicas that an order of the change before needs paused. - Orders for two members could carry one token.

Change: the orders of a group outlive a change. One without an outcome, or replicas that a former holder left paused, make the next change promote the member that was to be promoted, if it provably has every commit; only otherwise is the present primary ordered. Replicas stay paused until one of the orders has been answered, and this is tried every second; before, they waited for the next holder. Orders for different members have different tokens. A change also ends when the successor leads although no order was answered.

--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -70,9 +70,11 @@
 	CutOff
 	// NoPrimary means that the group has no primary.
 	NoPrimary
+	// Unfinished means that a promotion may have been ordered whose outcome is not known.
+	Unfinished
 )
 
-var reasonNames = [...]string{"none", "leaving", "zone-out", "unreachable", "cut-off", "no-primary"}
+var reasonNames = [...]string{"none", "leaving", "zone-out", "unreachable", "cut-off", "no-primary", "unfinished"}
 
 // String returns the name of the reason in log lines.
 func (r Reason) String() string { return reasonNames[r] }
@@ -186,6 +188,17 @@
 // since it may be the only one with every commit. Another member with the same
 // position is preferred to it.
 func Choose(members []Member, primary string, known Knowledge) (string, bool) {
+	return first(provenMembers(members, primary, known))
+}
+
+// MayPromote reports whether the member provably has all acknowledged commits, as the one
+// that Choose returns. Choose may prefer another member that has them too.
+func MayPromote(id string, members []Member, primary string, known Knowledge) bool {
+	return slices.Contains(provenMembers(members, primary, known), id)
+}
+
+// provenMembers returns the members that Choose may return, preferred ones first.
+func provenMembers(members []Member, primary string, known Knowledge) []string {
 	required := known.Acknowledged
 	if lacksReplicaLogs(members, primary) {
 		log, answered := primaryLog(members, primary)
@@ -193,20 +206,29 @@
 		case answered:
 			required = later(required, log)
 		case !known.Complete:
-			return "", false
+			return nil
 		}
 	}
 	return mostAdvanced(members, primary, required)
 }
 
+func first(ids []string) (string, bool) {
+	if len(ids) == 0 {
+		return "", false
+	}
+	return ids[0], true
+}
+
 // MostAdvanced returns the member that Choose would return if no commit were acknowledged
 // but those in the logs of the replicas that answered. A planned switchover lets this
 // member catch up with the primary before Choose is called.
 func MostAdvanced(members []Member, primary string) (string, bool) {
-	return mostAdvanced(members, primary, group.Position{})
+	return first(mostAdvanced(members, primary, group.Position{}))
 }
 
-func mostAdvanced(members []Member, primary string, required group.Position) (string, bool) {
+// mostAdvanced returns the members that have received required and all that other replicas
+// have, preferred ones first.
+func mostAdvanced(members []Member, primary string, required group.Position) []string {
 	var candidates []*Member
 	for i := range members {
 		m := &members[i]
@@ -218,19 +240,20 @@
 			required = later(required, m.Received)
 			candidates = append(candidates, m)
 		case m.UnlistedFor < UnlistedTimeout:
-			return "", false
+			return nil
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *Member) int {
 		return cmp.Or(b.preference()-a.preference(), b.Received.Compare(a.Received), cmp.Compare(a.ID, b.ID))
 	})
 	// Preference decides only among the members with the highest position.
+	var out []string
 	for _, m := range candidates {
 		if m.Received.Compare(required) >= 0 {
-			return m.ID, true
+			out = append(out, m.ID)
 		}
 	}
-	return "", false
+	return out
 }
 
 // primaryLog returns the position of the primary's log, or false if it did not answer.
--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -50,16 +50,15 @@
 	pool       *pool
 	primary    string
 	reason     promotion.Reason
+	started    time.Time
 	// acknowledged is the highest position that any instance has said to be acknowledged.
 	acknowledged   group.Position
 	term           uint64
 	pausedReplicas []Member
 	// confirmedAt is when the successor was last confirmed to hold every commit.
 	confirmedAt time.Time
-	// promotionOrdered is set once a promotion has been ordered. The platform
-	// may carry it out at any later time, so the paused replicas must then
-	// stay paused.
-	promotionOrdered bool
+	// orders are the promotions ordered before, by this change or by earlier ones.
+	orders groupOrders
 }
 
 func (c *primaryChange) log() *logrus.Entry {
@@ -70,15 +69,20 @@
 func (c *primaryChange) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	started := time.Now()
+	c.started = time.Now()
 	if !c.isNeeded(ctx) {
 		c.pool.mu.Lock()
 		c.pool.primaryChanging = false
 		c.pool.mu.Unlock()
 		return
 	}
-	c.log().Info("change of primary begins")
+	if c.reason != promotion.Unfinished {
+		c.log().Info("change of primary begins")
+	}
 	defer c.resumeUnlessOrdered()
+	if c.finishOrdered(ctx) || c.reason == promotion.Unfinished {
+		return
+	}
 	for ctx.Err() == nil {
 		if !c.controller.mayAct() {
 			// Replicas must not be paused meanwhile.
@@ -98,7 +102,6 @@
 		}
 		done, err := c.orderPromotion(ctx, successor)
 		if done {
-			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(started).Milliseconds()}).Info("primary changed")
 			return
 		}
 		c.log().WithField("successor", successor.ID).WithError(err).Warn("promotion not carried out")
@@ -248,7 +251,7 @@
 		}
 		statuses[successor.ID] = status
 		candidates := c.candidatesWithStatus(members, statuses)
-		if id, ok := promotion.Choose(candidates, c.primary, c.knowledge(ctx, candidates)); ok && id == successor.ID {
+		if promotion.MayPromote(successor.ID, candidates, c.primary, c.knowledge(ctx, candidates)) {
 			c.confirmedAt = time.Now()
 			return true
 		}
@@ -257,11 +260,11 @@
 	return false
 }
 
-// resumeUnlessOrdered resumes the paused replicas if no promotion was ordered.
-// While all replicas but one are paused, losing that one would stop all
+// resumeUnlessOrdered resumes the paused replicas unless a promotion may still be carried
+// out. While all replicas but one are paused, losing that one would stop all
 // commits.
 func (c *primaryChange) resumeUnlessOrdered() {
-	if c.promotionOrdered {
+	if c.orders.pending {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), becomePrimaryTimeout)
@@ -280,10 +283,6 @@
 // has been ordered. It pauses no replica again: the promotion may have been carried out
 // meanwhile, and a replica that is paused after that stays paused.
 func (c *primaryChange) stillConfirmed(ctx context.Context, successor Member) bool {
-	status, err := c.pool.controlCall(ctx, successor, statement.Statement{Kind: statement.Status})
-	if err != nil || status.Role == group.Primary {
-		return err == nil
-	}
 	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
 		return statement.Statement{Kind: statement.Status}, m.ID != successor.ID && (m.ID != c.primary || c.asksPrimary())
 	})
@@ -300,26 +299,25 @@
 // order without a response may be carried out at any time, and then waits until
 // the successor is primary.
 func (c *primaryChange) orderPromotion(ctx context.Context, successor Member) (bool, error) {
-	gw := c.controller.gw
 	for ctx.Err() == nil {
-		duty, ok := c.controller.awaitDuty(ctx)
+		duty, ok := c.awaitTokenFor(ctx, successor.ID)
 		if !ok {
 			return false, errNotDutyHolder
 		}
 		if time.Since(c.confirmedAt) > maxSuccessorProofAge {
-			if !c.promotionOrdered {
+			if !c.orders.pending || c.orders.member != successor.ID {
 				return false, errUnprovenSuccessor // the change begins anew
 			}
+			if status, err := c.pool.controlCall(ctx, successor, statement.Statement{Kind: statement.Status}); err == nil && status.Role == group.Primary {
+				return c.awaitPrimary(ctx, successor)
+			}
 			if !c.stillConfirmed(ctx, successor) {
 				c.log().WithField("successor", successor.ID).Info("the successor may lack commits by now; the order is not repeated")
 				sleep(ctx, promoteRetryInterval)
 				continue
 			}
 		}
-		c.promotionOrdered = true
-		promoteCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
-		err := gw.cfg.Promoter.Promote(promoteCtx, duty, c.pool.name, successor.ID)
-		cancel()
+		err := c.promote(ctx, duty, successor.ID)
 		switch {
 		case err == nil:
 			return c.awaitPrimary(ctx, successor)
@@ -350,6 +348,9 @@
 			c.pool.mu.Unlock()
 			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
 			go c.demoteFormer(status.Term)
+			// The promotion has ended all pauses.
+			c.orders.pending, c.pausedReplicas = false, nil
+			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
 			return true, nil
 		}
 		sleep(ctx, primaryPollInterval)
@@ -389,37 +390,3 @@
 		}()
 	}
 }
-
-// recoverAllGroups cleans up after a previous holder of the promotion lease,
-// which may have left replicas paused and promotions pending. Promoting the
-// current primary again raises the fencing token, so that older orders are
-// rejected.
-func (c *controller) recoverAllGroups(ctx context.Context) {
-	c.gw.forEachPool(func(p *pool) { go c.recoverGroup(context.WithoutCancel(ctx), p) })
-}
-
-func (c *controller) recoverGroup(ctx context.Context, p *pool) {
-	ctx, cancel := context.WithTimeout(ctx, becomePrimaryTimeout)
-	defer cancel()
-	members, primary, _, _ := p.snapshot()
-	change := &primaryChange{controller: c, pool: p, primary: primary}
-	statuses := change.callMembers(ctx, nil)
-	for i := range members {
-		if s, ok := statuses[members[i].ID]; ok && s.PausedTerm > 0 && s.Role == group.Replica {
-			change.pausedReplicas = append(change.pausedReplicas, members[i].Member)
-		}
-	}
-	primaryStatus, answered := statuses[primary]
-	if len(change.pausedReplicas) == 0 || !answered || primaryStatus.Role != group.Primary {
-		return
-	}
-	duty, ok := c.awaitDuty(ctx)
-	if !ok {
-		return
-	}
-	if err := c.gw.cfg.Promoter.Promote(ctx, duty, p.name, primary); err != nil {
-		change.log().WithError(err).Warn("cannot raise the fencing token; replicas stay paused")
-		return
-	}
-	change.resumeReplicas(ctx)
-}
--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -260,6 +260,37 @@
 		d.start("entry9")
 		Eventually(d.group.Members()[2].PausedTerm, eventualTimeout, pollInterval).Should(BeZero())
 	})
+	// Guards against orders of the former and the new holder for different members: the one that
+	// the platform carries out last takes the lead from a member that has acknowledged commits.
+	It("completes a change that a former holder has ordered, whatever order the platform carries out last", func() {
+		d := newDeployment(2, 10000)
+		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
+		primary := d.group.Primary()
+		ordersOf := func(holder string) (orders []standin.LostOrder) {
+			for _, o := range d.promotions.LostOrders() {
+				if o.Holder == holder {
+					orders = append(orders, o)
+				}
+			}
+			return orders
+		}
+		d.promotions.LoseOrders(true)
+		d.store.PutMember(primary, "draining")
+		Eventually(func() []standin.LostOrder { return ordersOf("entry1") }, eventualTimeout, pollInterval).ShouldNot(BeEmpty())
+		successor := ordersOf("entry1")[0].Member
+		d.instances[0].stop()
+		Eventually(func() []standin.LostOrder { return ordersOf("entry2") }, eventualTimeout, pollInterval).Should(HaveLen(2))
+		d.promotions.CarryOut(func(o standin.LostOrder) bool { return o.Holder == "entry1" })
+		Expect(d.group.Primary().ID).To(Equal(successor))
+		d.listMembers() // members report the change of their roles
+		primary.SetReplicationStopped(true)
+		acknowledged := standin.Commit{Item: "a", Data: "b"}
+		Eventually(func() string {
+			return d.instances[1].queryOnce("orders", "k1", "WRITE "+acknowledged.Item+" "+acknowledged.Data)
+		}, eventualTimeout, pollInterval).Should(HavePrefix("DONE"))
+		d.promotions.CarryOut(func(standin.LostOrder) bool { return true })
+		Expect(d.group.HasCommit(acknowledged)).To(BeTrue(), "the acknowledged commit is lost")
+	})
 	It("resumes a replica that a former holder of the promotion lease left paused", func() {
 		d := newDeployment(1, 10000)
 		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,6 +88,9 @@
 	recordingEra     bool
 	eraRecordTriedAt time.Time
 	startedAt        time.Time
+	// claims is the number of times that this instance has claimed the promotion lease from
+	// another holder.
+	claims atomic.Int64
 }
 
 // groupState is the controller's state of one group.
@@ -96,6 +100,12 @@
 	discoveredAt    time.Time
 	reportedAt      time.Time
 	plannedChangeAt time.Time
+	orders          groupOrders
+	// checkedClaim is the number of the claim of the promotion lease since which the orders
+	// of former holders have been looked for, and unfinishedAt when a change was last to
+	// finish them.
+	checkedClaim int64
+	unfinishedAt time.Time
 	// noPrimarySince is when the responding members were first found to
 	// include no primary.
 	noPrimarySince time.Time
@@ -376,6 +386,10 @@
 		p.probeUnlisted(ctx, primary)
 	}
 	_, self, _ := c.gw.peers.dutyHolder()
+	if self && (g.orders.pending || g.checkedClaim != c.claims.Load()) && now.Sub(g.unfinishedAt) > unfinishedRetryInterval {
+		g.unfinishedAt = now
+		c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
+	}
 	if self && primary == "" && !g.noPrimarySince.IsZero() && now.Sub(g.noPrimarySince) > noPrimaryTimeout {
 		c.startPrimaryChange(ctx, p, "", promotion.NoPrimary)
 	}
@@ -512,10 +526,15 @@
 		return
 	}
 	g.changeRunning = true
+	change := &primaryChange{controller: c, pool: p, primary: primary, reason: reason, orders: g.orders}
+	if claim := c.claims.Load(); g.checkedClaim != claim {
+		// A former holder may have left replicas paused and promotions pending.
+		g.checkedClaim = claim
+		change.orders.pending, change.orders.member = true, ""
+	}
 	go func() {
-		change := &primaryChange{controller: c, pool: p, primary: primary, reason: reason}
 		change.run(ctx)
-		c.enqueue(func() { g.changeRunning = false })
+		c.enqueue(func() { g.changeRunning, g.orders = false, change.orders })
 	}()
 }
 
@@ -592,9 +611,9 @@
 	}
 	switch {
 	case err == nil:
+		c.claims.Add(1)
 		peers.updateDuty(duty)
 		c.gw.log.WithFields(logrus.Fields{"event": "duty", "token": duty.Token}).Info("promotion duty claimed")
-		c.recoverAllGroups(ctx)
 	case errors.Is(err, ErrConflict):
 	default:
 		c.gw.log.WithField("event", "duty").WithError(err).Warn("cannot claim the promotion duty")
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -82,6 +82,71 @@
 	change := &primaryChange{controller: a.controller, pool: p, primary: "primary", reason: promotion.Leaving}
 	change.run(context.Background())
 	g.Expect(members.pauses).To(BeNumerically(">", 0))
-	g.Expect(change.promotionOrdered).To(BeFalse())
+	g.Expect(change.orders.pending).To(BeFalse())
 	g.Expect(members.paused).To(BeEmpty())
 }
+
+// silentPromoter leaves orders without an answer.
+type silentPromoter struct{ ordered func(member string) }
+
+func (p silentPromoter) Promote(ctx context.Context, _ Duty, _, member string) error {
+	p.ordered(member)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a later change of primary that resumes the replicas although an order of an
+// earlier one has had no answer: once it is carried out, commits that only the resumed replica
+// has acknowledged are lost.
+func TestReplicasStayPausedWhileAnEarlierChangeHasAnOrderWithoutAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	store := &dutyStore{}
+	a := newTestInstance("a", store)
+	store.duty = Duty{Holder: "a", Started: a.started, Token: 5}
+	a.peers.updateDuty(store.duty)
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	members := &pausableMembers{paused: map[string]uint64{}}
+	p := newPool("g", "z", members, nil, func(poolEvent) {})
+	for _, id := range []string{"primary", "r1", "r2"} {
+		p.members[id] = &poolMember{Member: Member{ID: id, Group: "g"}}
+	}
+	p.primary, p.term = "primary", 1
+	runChange := func(ctx context.Context) {
+		a.controller.startPrimaryChange(ctx, p, "primary", promotion.Leaving)
+		g.Eventually(func() bool {
+			a.controller.runCalls()
+			return a.controller.groupState("g").changeRunning
+		}, 2*changeTimeout).Should(BeFalse())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cfg.Promoter = silentPromoter{func(string) { cancel() }}
+	runChange(ctx)
+	g.Expect(members.paused).To(HaveLen(1))
+
+	store.duty = Duty{Holder: "b", Started: 1, Token: store.duty.Token + 1}
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	runChange(context.Background())
+	g.Expect(members.paused).To(HaveLen(1))
+}
+
+// Guards against orders for two members with one token, of which the platform may carry out
+// the older one last.
+func TestAnOrderForAnotherMemberHasANewerToken(t *testing.T) {
+	g := NewWithT(t)
+	store := &dutyStore{}
+	a := newTestInstance("a", store)
+	store.duty = Duty{Holder: "a", Started: a.started, Token: 5}
+	a.peers.updateDuty(store.duty)
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	a.cfg.Promoter = silentPromoter{func(string) {}}
+	change := &primaryChange{controller: a.controller, pool: newPool("g", "z", nil, nil, func(poolEvent) {})}
+	first, ok := change.awaitTokenFor(context.Background(), "r1")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(change.promote(context.Background(), first, "r1")).NotTo(Succeed())
+	again, ok := change.awaitTokenFor(context.Background(), "r1")
+	g.Expect(ok).To(BeTrue())
+	other, ok := change.awaitTokenFor(context.Background(), "r2")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(other.Token).To(BeNumerically(">", first.Token))
+	g.Expect(other.Token).To(BeNumerically(">=", again.Token))
+}
--- /dev/null
+++ b/pkg/gateway/unfinished.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/revision"
+)
+
+// unfinishedRetryInterval is the delay between two attempts to finish a change of primary
+// that this instance or a former holder of the promotion lease has left behind.
+const unfinishedRetryInterval = time.Second
+
+// groupOrders is what an instance knows of the promotions that have been ordered in a group.
+// The platform may carry out an order without an answer seconds later and after newer ones.
+type groupOrders struct {
+	// pending is set while a promotion may be carried out whose outcome is not known. The
+	// replicas that were paused for it must then stay paused. member is the one to be
+	// promoted, or "" if it is not known.
+	pending bool
+	member  string
+	// unanswered is the member of the newest order of this instance without an answer, and
+	// unansweredToken its fencing token.
+	unanswered      string
+	unansweredToken revision.Revision
+}
+
+// promote orders a promotion.
+func (c *primaryChange) promote(ctx context.Context, duty Duty, member string) error {
+	c.orders.pending, c.orders.member = true, member
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := c.controller.gw.cfg.Promoter.Promote(ctx, duty, c.pool.name, member)
+	if err != nil && !errors.Is(err, ErrFenced) && !errors.Is(err, ErrNotAccepted) {
+		c.orders.unanswered, c.orders.unansweredToken = member, duty.Token
+	}
+	return err
+}
+
+// awaitTokenFor returns a claim under which the member's promotion may be ordered: its token
+// is newer than that of an order without an answer for another member, which the platform
+// refuses once it has carried out this one. It returns false if another instance holds the
+// promotion lease, or if ctx ends.
+func (c *primaryChange) awaitTokenFor(ctx context.Context, member string) (Duty, bool) {
+	for ctx.Err() == nil {
+		duty, ok := c.controller.awaitDuty(ctx)
+		if !ok || c.orders.unanswered == "" || c.orders.unanswered == member || duty.Token > c.orders.unansweredToken {
+			return duty, ok
+		}
+		sleep(ctx, promoteRetryInterval) // awaitDuty renews the claim soon
+	}
+	return Duty{}, false
+}
+
+// finishOrdered finishes a change that may have been ordered without an outcome, and reports
+// whether the group has a new primary. The member that was to be promoted is preferred to the
+// present primary: orders for both could be carried out one after the other, and the last one
+// may lack commits acknowledged in between.
+func (c *primaryChange) finishOrdered(ctx context.Context) bool {
+	if !c.orders.pending {
+		return false
+	}
+	members, primary, _, _ := c.pool.snapshot()
+	statuses := c.callMembers(ctx, nil)
+	var unpaused []Member
+	paused, silent := 0, 0
+	for i := range members {
+		m := members[i].Member
+		switch s, answered := statuses[m.ID]; {
+		case m.ID == primary && m.ID != c.orders.member:
+		case !answered:
+			silent++
+		case s.PausedTerm > 0 && s.Role == group.Replica:
+			paused++
+			c.pausedReplicas = append(c.pausedReplicas, m)
+		case c.orders.member == "" || c.orders.member == m.ID:
+			unpaused = append(unpaused, m)
+		}
+	}
+	if c.orders.member == "" && paused == 0 {
+		c.orders.pending = silent > 0 // a silent replica may be paused
+		return false
+	}
+	if len(unpaused) == 1 {
+		successor := unpaused[0]
+		c.orders.member = successor.ID
+		switch {
+		case statuses[successor.ID].Role != group.Primary:
+		case successor.ID == primary:
+			c.orders.pending = false
+			return true
+		default:
+			done, _ := c.awaitPrimary(ctx, successor)
+			return done
+		}
+		if c.stillConfirmed(ctx, successor) {
+			done, err := c.orderPromotion(ctx, successor)
+			if err != nil {
+				c.log().WithField("successor", successor.ID).WithError(err).Warn("promotion not carried out")
+			}
+			return done
+		}
+	}
+	if s, answered := statuses[primary]; answered && s.Role == group.Primary {
+		c.keepPrimary(ctx, primary)
+	}
+	return false
+}
+
+// keepPrimary makes the platform refuse older orders by promoting the present primary, which
+// changes nothing.
+func (c *primaryChange) keepPrimary(ctx context.Context, primary string) {
+	duty, ok := c.awaitTokenFor(ctx, primary)
+	if !ok {
+		return
+	}
+	ordered := c.orders.member
+	if err := c.promote(ctx, duty, primary); err != nil {
+		c.orders.member = ordered
+		c.log().WithError(err).Warn("cannot raise the fencing token; replicas stay paused")
+		return
+	}
+	c.orders.pending = false
+}
