Pause a replica that restarts while an order has no answer

What callers see: acknowledged commits are missing if a replica restarts, or joins, after a promotion was ordered and before the platform carries it out.

Cause: a restart forgets the pause. The order was not repeated any more, but the one under way stays valid, and the replica went on to acknowledge commits that the successor may lack.

Change: such a replica is paused in the term that follows the one it knows. It refuses this if the promotion has been carried out; one that has not heard of it yet is resumed once the successor leads. Until the next check, which follows each order that times out, commits can still be acknowledged by it alone.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -55,6 +55,8 @@
 	acknowledged   group.Position
 	term           uint64
 	pausedReplicas []Member
+	// pausedAgain are the replicas that were paused after the promotion had been ordered.
+	pausedAgain []Member
 	// confirmedAt is when the successor was last confirmed to hold every commit.
 	confirmedAt time.Time
 	// orders are the promotions ordered before, by this change or by earlier ones.
@@ -280,18 +282,29 @@
 var errUnprovenSuccessor = errors.New("the successor may lack acknowledged commits")
 
 // stillConfirmed reports whether the successor still holds every commit after a promotion
-// has been ordered. It pauses no replica again: the promotion may have been carried out
-// meanwhile, and a replica that is paused after that stays paused.
+// has been ordered. It pauses the replicas that receive again, as after a restart.
 func (c *primaryChange) stillConfirmed(ctx context.Context, successor Member) bool {
 	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
 		return statement.Statement{Kind: statement.Status}, m.ID != successor.ID && (m.ID != c.primary || c.asksPrimary())
 	})
-	for id, s := range statuses {
-		if id != c.primary && s.PausedTerm == 0 {
-			delete(statuses, id) // the replica has restarted, and may receive commits
+	members, _, _, _ := c.pool.snapshot()
+	for i := range members {
+		m := members[i].Member
+		s, answered := statuses[m.ID]
+		if !answered || m.ID == c.primary || m.ID == successor.ID || s.PausedTerm > 0 {
+			continue
 		}
+		// The promotion may have been carried out meanwhile, and a replica that is paused after
+		// that stays paused. It refuses the term that follows the one that it knew before.
+		paused, err := c.callMember(ctx, m, statement.Statement{Kind: statement.Pause, Term: s.Term + 1})
+		if err != nil {
+			c.log().WithField("member", m.ID).WithError(err).Info("cannot pause a replica that receives again")
+			delete(statuses, m.ID)
+			continue
+		}
+		statuses[m.ID] = paused
+		c.pausedAgain = append(c.pausedAgain, m)
 	}
-	members, _, _, _ := c.pool.snapshot()
 	return c.awaitCatchUp(ctx, members, successor, statuses)
 }
 
@@ -348,8 +361,8 @@
 			c.pool.mu.Unlock()
 			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
 			go c.demoteFormer(status.Term)
-			// The promotion has ended all pauses.
-			c.orders.pending, c.pausedReplicas = false, nil
+			// The promotion has ended all pauses of replicas that knew of it.
+			c.orders.pending, c.pausedReplicas = false, c.pausedAgain
 			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
 			return true, nil
 		}
--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -260,6 +260,31 @@
 		d.start("entry9")
 		Eventually(d.group.Members()[2].PausedTerm, eventualTimeout, pollInterval).Should(BeZero())
 	})
+	// Guards against a replica that restarts, and thus receives again, while an order without an
+	// answer may still be carried out: commits that only this replica acknowledges would be lost.
+	It("pauses a replica that restarts while an order has no answer", func() {
+		d := newDeployment(1, 10000)
+		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
+		d.promotions.LoseOrders(true)
+		d.store.PutMember(d.group.Primary(), "draining")
+		Eventually(d.promotions.LostOrders, eventualTimeout, pollInterval).ShouldNot(BeEmpty())
+		successor, restarted := d.group.Members()[1], d.group.Members()[2]
+		Expect(d.promotions.LostOrders()[0].Member).To(Equal(successor.ID))
+		restarted.Kill()
+		Expect(restarted.Restart()).To(Succeed())
+		Eventually(restarted.PausedTerm, 5*time.Second, pollInterval).ShouldNot(BeZero())
+		successor.SetReplicationStopped(true)
+		answer := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer <- d.instances[0].queryOnce("orders", "k1", "WRITE a b")
+		}()
+		Consistently(answer, time.Second).ShouldNot(Receive(HavePrefix("DONE")), "acknowledged by a replica that is not promoted")
+		d.promotions.CarryOut(func(standin.LostOrder) bool { return true })
+		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).Should(Equal(successor.ID))
+		Eventually(func() string { return d.instances[0].queryOnce("orders", "k1", "WRITE a c") }, eventualTimeout, pollInterval).Should(HavePrefix("DONE"))
+		Expect(restarted.PausedTerm()).To(BeZero())
+	})
 	// Guards against orders of the former and the new holder for different members: the one that
 	// the platform carries out last takes the lead from a member that has acknowledged commits.
 	It("completes a change that a former holder has ordered, whatever order the platform carries out last", func() {
