Show that a replica which receives without responding can lose commits

A replica that responds to no instance and is not listed cannot be paused. If it still receives from a primary that runs, which is being replaced because it leaves, it may acknowledge commits between the proof and the promotion that the successor lacks.

--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -21,6 +21,8 @@
 	// unlisted is set while a down replica has been absent from the platform's list for
 	// promotion.UnlistedTimeout.
 	unlisted bool
+	// dark replicas respond to nobody and are not listed, but receive.
+	dark bool
 }
 
 // modelInstance is an instance in the model. It remembers the commits whose
@@ -65,6 +67,8 @@
 	restarted        bool
 	pendingPromotion *modelReplica
 	violations       []string
+	// withDarkReplicas lets replicas become dark.
+	withDarkReplicas bool
 }
 
 func newModel(seed uint64, rule modelRule) *model {
@@ -121,8 +125,13 @@
 // disturbMember crashes members and lets them come back with their logs. While a promotion
 // is pending nobody comes back: the model leaves out that a primary and a replica return
 // together in the moment between the proof and the promotion, that a paused replica
-// restarts in it, and that a replica which responds to no instance still receives.
+// restarts in it, and, unless withDarkReplicas is set, that a replica which responds to no
+// instance still receives.
 func (m *model) disturbMember(r *modelReplica) {
+	if m.withDarkReplicas && m.rng.IntN(3) == 0 {
+		r.dark = !r.dark
+		return
+	}
 	switch m.rng.IntN(4) {
 	case 0:
 		if m.primaryUp || m.pendingPromotion == nil {
@@ -166,7 +175,7 @@
 		switch {
 		case r.id == chosen:
 			m.pendingPromotion = r
-		case m.rule.skipPausing || r.down:
+		case m.rule.skipPausing || r.down || r.dark:
 		case m.rng.IntN(4) == 0:
 			refused[r.id] = true
 		default:
@@ -197,7 +206,7 @@
 	for _, r := range m.replicas {
 		member := promotion.Member{ID: r.id}
 		switch {
-		case r.down && r.unlisted:
+		case r.down && r.unlisted, r.dark:
 			member.UnlistedFor = promotion.UnlistedTimeout
 		case r.down, refused[r.id] && !m.rule.acceptRefusedPauses:
 		default:
