Complete the answer to a statement that crosses the end of its session

A statement that was on its way as a stopping instance closed its session got an error and the end of the connection, and no READY, which belongs to every answer to a statement.

The specs of a planned stop also check that each answer is whole.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -70,7 +70,7 @@
 }
 
 // beginWait marks the session as waiting for a statement. It returns false if the instance
-// is closing such sessions and this one should close. A statement that has begun to arrive
+// closes such sessions, and marks this one as closing. A statement that has begun to arrive
 // is still read.
 func (g *Gateway) beginWait(s *session) bool {
 	g.sessionsMu.Lock()
@@ -80,7 +80,7 @@
 		stage = waitsIdle
 	}
 	if g.closesWaiting(stage, time.Now()) && !s.client.HasInput() {
-		delete(g.sessions, s)
+		g.sessions[s] = sessionProgress{stage: closing}
 		return false
 	}
 	g.sessions[s] = sessionProgress{stage: stage}
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/pkg/gateway"
+	"github.com/mulberrysill/mulberrysill/platform/standin"
 )
 
 // holdTime is how long a holdingClient goes on to write an answer after the listener was
@@ -55,9 +56,9 @@
 	return c.Client.Answer(r, state)
 }
 
-func (c holdingClient) Ready() error {
+func (c holdingClient) Ready(state statement.State) error {
 	c.listener.hold()
-	return c.Client.Ready()
+	return c.Client.Ready(state)
 }
 
 var _ = Describe("a planned stop", func() {
@@ -82,16 +83,16 @@
 				text := "BEGIN READ"
 				for {
 					inProgress.Add(1)
-					answer := c.query(text)[0]
+					answer := c.query(text)
 					inProgress.Add(-1)
 					switch {
-					case answer == "closed":
+					case answer[len(answer)-1] == "closed":
 						cut.Add(1)
 						return
 					case text == "ROLLBACK":
 						return
-					case strings.HasPrefix(answer, "ERR"):
-						Expect(answer).To(HavePrefix("ERR ABORTED"))
+					case strings.HasPrefix(answer[0], "ERR"):
+						Expect(answer[0]).To(HavePrefix("ERR ABORTED"))
 						text = "ROLLBACK"
 					default:
 						answered.Add(1)
@@ -221,6 +222,25 @@
 		Expect(idle.line()).To(Equal("closed"))
 		Expect(inTransaction.line()).To(HavePrefix("ERR ABORTED"))
 		Expect(inTransaction.line()).To(Equal("closed"))
+	})
+	// Guards against an incomplete answer to a statement that crosses the error which ends its
+	// session.
+	It("completes the answers of statements that cross the end of a session", func() {
+		d := newDeployment(1, 10000)
+		idle, reading, committing := d.instances[0].session("orders", "k1"), d.instances[0].session("orders", "k1"), d.instances[0].session("orders", "k1")
+		d.instances[0].stop()
+		time.Sleep(1500 * time.Millisecond)
+		for _, c := range []*client{reading, committing} {
+			Expect(c.query("BEGIN")[0]).To(HavePrefix("DONE"))
+		}
+		Expect(idle.line()).To(HavePrefix("ERR BUSY"))
+		Expect(idle.query("WRITE x 1")).To(Equal([]string{"READY I -"}))
+		Expect(idle.line()).To(Equal("closed"))
+		Expect(reading.line()).To(HavePrefix("ERR ABORTED"))
+		Expect(reading.query("READ x")).To(Equal([]string{"READY E -"}))
+		Expect(committing.line()).To(HavePrefix("ERR ABORTED"))
+		Expect(committing.query("COMMIT")).To(Equal([]string{"READY I -"}))
+		Expect(d.group.HasCommit(standin.Commit{Item: "x", Data: "1"})).To(BeFalse())
 		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
 	})
 })
--- a/pkg/gateway/progress.go
+++ b/pkg/gateway/progress.go
@@ -18,9 +18,11 @@
 	waitsIdle
 	// waitsInTransaction sessions wait for a statement of an open or failed transaction.
 	waitsInTransaction
+	// closing sessions are being closed.
+	closing
 )
 
-var stageNames = [...]string{"running", "answering", "idle", "in-transaction"}
+var stageNames = [...]string{"running", "answering", "idle", "in-transaction", "closing"}
 
 // String returns the name used in logs.
 func (s sessionStage) String() string { return stageNames[s] }
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -29,10 +29,11 @@
 type Client interface {
 	// ReadStartup reads the first message.
 	ReadStartup(deadline time.Time) (Startup, error)
-	// Ready accepts the session. Reject refuses it, or ends it while no statement is
-	// outstanding; the caller then closes the connection.
-	Ready() error
+	// Reject refuses the session, or ends it while no statement is outstanding; the caller
+	// then closes the connection. Ready accepts the session, or completes the answer to a
+	// statement that crossed the error on the way.
 	Reject(*verdict.Error) error
+	Ready(statement.State) error
 	// NextStatement reads a statement, until the deadline unless that is zero. A
 	// *verdict.Error must be answered with AnswerError and ends the session if it
 	// is fatal; any other error ends the session.
--- a/pkg/gateway/relayed_stop_test.go
+++ b/pkg/gateway/relayed_stop_test.go
@@ -49,15 +49,15 @@
 					}
 					for text := "BEGIN READ"; text != "end"; time.Sleep(10 * time.Millisecond) {
 						inProgress.Add(1)
-						answer := c.query(text)[0]
+						answer := c.query(text)
 						inProgress.Add(-1)
 						switch {
-						case answer == "closed":
+						case answer[len(answer)-1] == "closed":
 							cut.Add(1)
 							return
 						case text == "ROLLBACK":
 							return
-						case strings.HasPrefix(answer, "ERR"):
+						case strings.HasPrefix(answer[0], "ERR"):
 							text = "ROLLBACK"
 						default:
 							answered.Add(1)
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -101,7 +101,7 @@
 		s.reject(verdict.FromError(err))
 		return
 	}
-	if s.client.Ready() != nil {
+	if s.client.Ready(s.state) != nil {
 		return
 	}
 	for s.serveNext(ctx) {
@@ -138,11 +138,7 @@
 		deadline = s.gw.idleTransactionDeadline(time.Now())
 	}
 	if !s.gw.beginWait(s) {
-		// A statement that is on its way is not run, and its client takes this for the answer.
-		if err := s.client.Reject(s.closingError()); err != nil {
-			return false
-		}
-		s.client.DrainAndClose(closeDrainTimeout)
+		s.closeWaiting()
 		return false
 	}
 	st, err := s.client.NextStatement(deadline)
@@ -153,12 +149,28 @@
 	return s.serve(ctx, st) == nil
 }
 
-// closingError tells the client of a waiting session that the instance closes it.
-func (s *session) closingError() *verdict.Error {
-	if s.state == statement.Idle {
-		return verdict.FromError(s.gw.shuttingDownError())
+// closeWaiting ends a session that waits for a statement, since the instance stops. A
+// statement that crosses the error on the way is not run: the error is its answer.
+func (s *session) closeWaiting() {
+	e := verdict.FromError(s.gw.shuttingDownError())
+	if s.state != statement.Idle {
+		e = shutdownAbortedError()
+	}
+	if s.client.Reject(e) != nil {
+		return
+	}
+	st, err := s.client.NextStatement(time.Now().Add(closeDrainTimeout))
+	if malformed := new(verdict.Error); err == nil || errors.As(err, &malformed) {
+		s.failTransaction()
+		if st.Kind == statement.Commit || st.Kind == statement.Rollback {
+			s.state = statement.Idle
+		}
+		rec := requestRecord{id: st.ID, database: s.startup.Database, kind: st.Kind.String(), started: time.Now(), err: e}
+		if s.finishAnswer(rec, func() error { return s.client.Ready(s.state) }) != nil {
+			return
+		}
 	}
-	return shutdownAbortedError()
+	s.client.DrainAndClose(closeDrainTimeout)
 }
 
 // handleReadError handles a malformed statement, a timeout or a broken
@@ -224,14 +236,20 @@
 // answer records the statement and writes its answer. An error means that the client has no
 // complete answer.
 func (s *session) answer(reply statement.Reply, rec requestRecord) error {
+	return s.finishAnswer(rec, func() error {
+		if rec.err == nil {
+			return s.client.Answer(reply, s.state)
+		}
+		return s.client.AnswerError(rec.err, s.state)
+	})
+}
+
+// finishAnswer records the statement and calls write, which writes its answer or the rest of
+// it.
+func (s *session) finishAnswer(rec requestRecord, write func() error) error {
 	s.gw.noteProgress(s, answering, rec.id)
 	s.gw.requests.record(rec)
-	err := error(nil)
-	if rec.err == nil {
-		err = s.client.Answer(reply, s.state)
-	} else {
-		err = s.client.AnswerError(rec.err, s.state)
-	}
+	err := write()
 	if err != nil {
 		rec.undelivered = err
 		s.gw.requests.record(rec)
