Send the last usage counts within the grace period

A stop whose answers were still being written took longer than the grace period if a gatherer of usage counts was silent: the last counts were sent after the wait for answers, which uses the time that was meant for them. They are sent beside the last calls to peers now.

No spec is kept, since it would measure time.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -197,6 +197,9 @@
 	var last sync.WaitGroup
 	last.Go(func() { g.peers.announceStop(ctx) })
 	last.Go(func() { g.closePeerServer(ctx) })
+	if g.usageSender != nil {
+		last.Go(g.usageSender.flush)
+	}
 	last.Wait()
 	for g.answersOwed() > 0 && time.Now().Before(schedule.Exit) {
 		g.abandonRunning()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -199,9 +199,6 @@
 	case err = <-failed:
 	case <-ctx.Done():
 		g.drain(workCtx)
-		if g.usageSender != nil {
-			g.usageSender.flush()
-		}
 	}
 	stop()
 	g.requests.close()
--- a/pkg/gateway/usagesend.go
+++ b/pkg/gateway/usagesend.go
@@ -173,8 +173,8 @@
 	d.through = max(d.through, through)
 }
 
-// flush sends the last counts, when this instance has no sessions any more. It returns after
-// flushTimeout at the latest.
+// flush sends the last counts, when this instance runs no statements any more. It returns
+// after usageFlushTimeout at the latest.
 func (u *usageSender) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), usageFlushTimeout)
 	defer cancel()
