Open no connection for a statement once an instance has given up on it

The wait for a member's first answer on a new connection went on for up to 0.7 s after the instance had ended all waits, and a statement was then sent although the instance had told its peers that it runs no more.

The wait ends with the statement's, an opened connection is released unused, and the member does not count as failed for it.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -74,9 +74,13 @@
 		}
 		p.mu.Unlock()
 		conn, err := p.openConn(ctx, g, req)
-		if err == nil {
+		if err == nil && ctx.Err() == nil {
 			return conn, nil
 		}
+		if err == nil {
+			p.release(conn, true)
+			return nil, p.queueFullError("the instance is shutting down")
+		}
 		p.mu.Lock()
 		if !req.needsPrimary {
 			if req.excluded == nil {
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -106,8 +106,8 @@
 		}
 		return
 	}
-	if took < stallTimeout && errors.Is(err, context.DeadlineExceeded) {
-		return // the request's deadline was shorter than stallTimeout
+	if errors.Is(err, context.Canceled) || (took < stallTimeout && errors.Is(err, context.DeadlineExceeded)) {
+		return // this instance stops, or the request's deadline was shorter than stallTimeout
 	}
 	p.markDown(m, now)
 }
