End the waits for members that are no longer listed at a stop

A statement at a member that had been replaced or removed meanwhile had no answer when the instance ended: only the members in the list were asked for their connections. The pool keeps former members while statements run on their connections.

Evidence: the spec 'answers statements that wait for replaced members' received no answer without the change, and passes now.

--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -147,7 +147,7 @@
 func (p *pool) interruptStatements() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.members {
+	interrupt := func(m *poolMember) {
 		for c := range m.running {
 			if !c.busySince.IsZero() {
 				c.closed = true
@@ -155,6 +155,12 @@
 			}
 		}
 	}
+	for _, m := range p.members {
+		interrupt(m)
+	}
+	for m := range p.removed {
+		interrupt(m)
+	}
 }
 
 // markUp returns a member to service. The caller holds p.mu.
@@ -178,6 +184,9 @@
 	defer p.mu.Unlock()
 	m := c.member
 	delete(m.running, c)
+	if len(m.running) == 0 {
+		delete(p.removed, m)
+	}
 	// The gateway's own calls are much shorter than clients' statements and would make
 	// the expected wait in the queue too short.
 	if !c.lastUsedAt.IsZero() && !c.isOwnCall {
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -149,6 +149,34 @@
 		Entry("for writes, served by member", "WRITE x 2", servedByMember),
 		Entry("for reads, served by member", "READ x", servedByMember),
 	)
+	// Guards against statements at members that the platform no longer lists, or that have been
+	// replaced: the stop did not end their wait.
+	It("answers statements that wait for replaced members", func() {
+		d := newDeployment(1, 10000, func(d *deployment) { d.config.StatementTimeout = 20 * time.Second })
+		i := d.instances[0]
+		Expect(i.queryOnce("orders", "k1", "WRITE x 1")).To(HavePrefix("DONE"))
+		c := i.session("orders", "k1")
+		Expect(c.query("BEGIN")[0]).To(HavePrefix("DONE"))
+		Expect(c.query("READ x")[0]).To(HavePrefix("ROW"))
+		for _, m := range d.group.Members() {
+			m.SetUnresponsive(true)
+		}
+		answer := make(chan []string, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer <- c.query("WRITE x 2")
+		}()
+		time.Sleep(200 * time.Millisecond)
+		for _, m := range d.group.Members() {
+			entry := m.Entry("ready")
+			entry["born"] = 2
+			d.store.Put("servers", m.ID, entry)
+		}
+		time.Sleep(700 * time.Millisecond)
+		i.stop()
+		Eventually(i.ended, eventualTimeout).Should(Receive())
+		Eventually(answer, eventualTimeout).Should(Receive(Equal([]string{"ERR ABORTED no answer from member g1-0; the transaction is rolled back", "READY E -"})))
+	})
 	// Guards against answers of which a part is written when the process ends.
 	It("waits for answers that are being written as long as the grace period allows", func() {
 		listener := &holdingListener{closed: make(chan struct{})}
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -65,6 +65,8 @@
 
 	mu      sync.Mutex
 	members map[string]*poolMember
+	// removed are former members on whose connections statements still run.
+	removed map[*poolMember]struct{}
 	primary string
 	term    uint64
 	// deposed is the last member found not to be primary, as of deposedTerm.
@@ -219,7 +221,7 @@
 func newPool(name, zone string, dialer Dialer, instances *peers, onEvent func(poolEvent)) *pool {
 	p := &pool{
 		name: name, zone: zone, dialer: dialer, instances: instances, onEvent: onEvent,
-		members: map[string]*poolMember{}, membersChanged: make(chan struct{}),
+		members: map[string]*poolMember{}, removed: map[*poolMember]struct{}{}, membersChanged: make(chan struct{}),
 		queue: admission.NewQueue(0), waiters: map[uint64]*waiter{}, targets: map[string]targetReport{}, servingInstances: 1, inServingSet: true,
 		meanHoldTime: 20 * time.Millisecond,
 	}
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -88,6 +88,9 @@
 		m.witness = nil
 	}
 	delete(p.members, m.ID)
+	if len(m.running) > 0 {
+		p.removed[m] = struct{}{}
+	}
 	if p.primary == m.ID {
 		p.primary = ""
 	}
