Wait for the pool of a group that a configuration has just added

Statements for a new group were refused ('group g2 has no members') between the moment at which its configuration came into force and the next run of the controller, which makes the pool. On a busy machine that takes a while.

They wait for that run now, for at most 0.2 s. A group that has no pool after it is refused at once, as before.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -151,6 +151,8 @@
 	catalog.Entries
 	catalog *catalog.Catalog
 	encoded encodedOnce
+	// poolsUpdated is closed once the groups of this configuration have pools.
+	poolsUpdated chan struct{}
 }
 
 // New returns a gateway that does not serve yet.
@@ -303,6 +305,25 @@
 	return g.pools[name]
 }
 
+// maxPoolWait bounds the wait for the pool of a group that a configuration has just added.
+const maxPoolWait = 200 * time.Millisecond
+
+// awaitPool returns the pool of a group, or nil if the group has no members. The pool of a
+// new group is made just after its configuration has come into force.
+func (g *Gateway) awaitPool(name string) *pool {
+	c := g.currentConfig.Load()
+	if p := g.pool(name); p != nil || c == nil {
+		return p
+	}
+	timer := time.NewTimer(maxPoolWait)
+	defer timer.Stop()
+	select {
+	case <-c.poolsUpdated:
+	case <-timer.C:
+	}
+	return g.pool(name)
+}
+
 // routeOf returns the route of a database and the pool of its group; both are nil if there
 // is none.
 func (g *Gateway) routeOf(database string) (*catalog.Route, *pool) {
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -332,7 +332,7 @@
 		return nil, nil, nil, err
 	}
 	rec.route, rec.workspace = route.Name, workspace.Name
-	p := s.gw.pool(route.Group)
+	p := s.gw.awaitPool(route.Group)
 	if p == nil {
 		return nil, nil, nil, verdict.New(verdict.NotRun, verdict.NoPrimary, "group %s has no members", route.Group).WithRetryAfter(refusalRetryAfter)
 	}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -384,7 +384,7 @@
 		if !changed || merged.Spec == nil {
 			return
 		}
-		installed := &configuration{Entries: merged}
+		installed := &configuration{Entries: merged, poolsUpdated: make(chan struct{})}
 		if current != nil && merged.Spec == current.Spec {
 			installed.catalog = current.catalog
 		} else if installed.catalog = g.compile(merged.Spec); installed.catalog == nil {
@@ -409,7 +409,10 @@
 
 func (g *Gateway) noteInstalled(c *configuration) {
 	g.limits.configure(c.catalog.Workspaces(), c.Version())
-	g.controller.enqueue(func() { g.controller.updatePools() })
+	g.controller.enqueue(func() {
+		g.controller.updatePools()
+		close(c.poolsUpdated)
+	})
 	g.log.WithFields(logrus.Fields{
 		"event": "configuration", "version": c.Version(), "era": c.Revision.Era(), "revision": c.Revision.Version(), "zonesOut": len(c.ZonesOut), "zonesHeld": len(c.HeldZones),
 	}).Info("configuration installed")
