Check that commits are kept which only silent instances know

A user's record shows a promotion that lacked acknowledged commits: the primary did not answer the holder, and the successor was behind. No spec wrote commits that only instances without an answer know.

--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -191,6 +191,26 @@
 		d.instances[2].answersPeers.Store(true)
 		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).Should(Equal("g1-1"))
 	})
+	// Guards against losing commits if neither the primary, nor the replica that has them, nor
+	// an instance that has acknowledged them responds.
+	It("keeps the commits of instances that do not respond, while the primary and a replica are silent", func() {
+		d := newDeployment(3, 10000)
+		Eventually(d.store.HasPromotionLeaseHolder, eventualTimeout, pollInterval).Should(BeTrue())
+		primary, behind, silent := d.group.Primary(), d.group.Members()[1], d.group.Members()[2]
+		behind.SetReplicationStopped(true)
+		commits := writeOnNonHolders(d)
+		for _, i := range d.instances[1:] {
+			i.answersPeers.Store(false)
+		}
+		silent.Kill()
+		d.store.RemoveMember(silent.ID)
+		primary.Kill()
+		d.store.RemoveMember(primary.ID)
+		Consistently(func() string { return d.group.Primary().ID }, 5*time.Second, pollInterval).Should(Equal(primary.ID))
+		for _, c := range commits {
+			Expect(d.group.HasCommit(c)).To(BeTrue(), "the acknowledged commit %s is lost", c.Item)
+		}
+	})
 	It("does not wait for members that only another writer's odd entries name", func() {
 		d := newDeployment(2, 10000)
 		d.store.PutMalformedRows()
