Soak planned work and check that it cuts no statement

The soak injected stops among other faults and accepted every end of a connection as an answer in doubt.

A statement that was sent completely must be answered, unless its connection ends within 200 ms and no member has it, or its member is at work in the last sixth of the grace period. An error that an instance sends before it ends a session counts as a refusal, also in the soak with faults, and so must be true.

--- a/test/soak/client.go
+++ b/test/soak/client.go
@@ -35,6 +35,11 @@
 	outcome outcome
 	row     string
 	text    string
+	// code is the error code, or "", and state the letter of the session's state, or "" if
+	// the session has ended.
+	code, state string
+	// sent is set if the whole statement was written to the connection.
+	sent bool
 	// timedOut is set if neither a response nor the end of the connection arrived
 	// in time.
 	timedOut bool
@@ -80,15 +85,20 @@
 func (s *session) close() { _ = s.conn.Close() }
 
 // query runs one statement.
-func (s *session) query(text string) response {
+func (s *session) query(text string) response { return s.queryWithID(s.id.next(), text) }
+
+func (s *session) queryWithID(id, text string) response {
 	_ = s.conn.SetDeadline(time.Now().Add(statementTimeout)) // an error surfaces at the next read
-	_, _ = fmt.Fprintf(s.conn, "QUERY %s %s\r\n", s.id.next(), text)
-	var a response
+	_, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, text)
+	a := response{sent: err == nil}
 	for {
 		line, err := s.reader.ReadString('\n')
+		if err != nil && a.code != "" {
+			return a // the instance has refused the statement and ended the session
+		}
 		if err != nil {
 			timeout, ok := err.(net.Error)
-			return response{text: err.Error(), timedOut: ok && timeout.Timeout()}
+			return response{text: err.Error(), timedOut: ok && timeout.Timeout(), sent: a.sent}
 		}
 		word, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
 		switch word {
@@ -98,11 +108,12 @@
 			a.outcome = done
 		case "ERR":
 			a.text = rest
-			code, _, _ := strings.Cut(rest, " ")
-			if slices.Contains(notExecutedCodes, code) {
+			a.code, _, _ = strings.Cut(rest, " ")
+			if slices.Contains(notExecutedCodes, a.code) {
 				a.outcome = notApplied
 			}
 		case "READY":
+			a.state, _, _ = strings.Cut(rest, " ")
 			return a
 		}
 	}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -20,9 +20,9 @@
 	// memberEntryTTL is the outage of the store after which the members' entries have
 	// expired, and are written again before the store answers.
 	memberEntryTTL = 3 * time.Second
-	// shutdownTimeout is the time within which an instance must exit after
-	// SIGTERM: its grace period of 4 s plus 2 s to begin the shutdown.
-	shutdownTimeout = 6 * time.Second
+	// shutdownMargin is the time beyond the grace period within which an instance must
+	// exit after SIGTERM, because it may begin the shutdown late.
+	shutdownMargin = 2 * time.Second
 )
 
 // startFault injects the fault and returns the function that ends it.
@@ -45,6 +45,7 @@
 		return func() error { defer r.recordPause(in.name, false); return in.Resume() }, in.Pause()
 	case InstanceTerminated:
 		r.setExitExpected(in, true)
+		r.recordTermination(in)
 		return func() error { r.awaitExit(in); return r.restart(in) }, in.Terminate()
 	case InstanceReloaded:
 		return none, in.Signal(syscall.SIGHUP)
@@ -106,6 +107,13 @@
 		s.publishKeys(true)
 		r.setRevokedAt(time.Now())
 		return func() error { r.setRevokedAt(time.Time{}); s.publishKeys(false); return nil }, nil
+	case ConfigurationChanged:
+		s.changeUnusedConfiguration(f.Target)
+		return none, nil
+	case MemberReplaced:
+		return s.replaceMember(member)
+	case PrimaryReplaced:
+		return s.replaceMember(s.group.Primary())
 	}
 	return none, errors.Newf("unknown kind of fault %q", f.Kind)
 }
@@ -129,8 +137,8 @@
 func (r *run) awaitExit(in *instance) {
 	select {
 	case <-in.Done():
-	case <-time.After(shutdownTimeout):
-		r.reportViolation("%s has not exited %s after SIGTERM", in.name, shutdownTimeout)
+	case <-time.After(r.cluster.settings.gracePeriod + shutdownMargin):
+		r.reportViolation("%s has not exited %s after the end of its grace period", in.name, shutdownMargin)
 		in.Kill()
 	}
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -39,6 +39,9 @@
 	MalformedRows            Kind = "garbage rows in the store"
 	KeyRevoked               Kind = "key withdrawn"
 	StoreRestored            Kind = "store restored from a copy"
+	ConfigurationChanged     Kind = "configuration changed"
+	MemberReplaced           Kind = "member replaced"
+	PrimaryReplaced          Kind = "primary replaced"
 )
 
 var kinds = []Kind{
@@ -168,6 +171,8 @@
 		return fmt.Sprintf("link of instance %d", f.Target)
 	case MemberUnresponsive, StoreLinkFrozen:
 		return fmt.Sprintf("%s %d", f.Kind, f.Target)
+	case MemberReplaced, PrimaryReplaced:
+		return string(MemberReplaced)
 	case StoreRestored:
 		return string(StoreDown)
 	default:
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -48,6 +48,8 @@
 	Instances int
 	// Binaries are the paths of builds of mulberrygate, which the instances run in turn.
 	Binaries []string
+	// Planned restricts the faults to planned work, and checks that it cuts no statement.
+	Planned bool
 	// Directory receives the settings and logs.
 	Directory string
 }
@@ -59,6 +61,8 @@
 	// Timeline lists the faults as injected.
 	Timeline       []string
 	Served, Failed int
+	// Summary holds the counts of a run with planned work only.
+	Summary string
 }
 
 type run struct {
@@ -71,28 +75,42 @@
 
 	mu           sync.Mutex
 	result       Result
-	stop         bool                 // guarded by mu
-	paused       map[string]time.Time // guarded by mu: start of the current pause
-	resumed      map[string]time.Time // guarded by mu: end of the last pause
-	revoked      time.Time            // guarded by mu: start of the revocation, zero while the key is valid
-	hotReadTimes []time.Time          // guarded by mu
+	stop         bool                    // guarded by mu
+	paused       map[string]time.Time    // guarded by mu: start of the current pause
+	resumed      map[string]time.Time    // guarded by mu: end of the last pause
+	terminated   map[*instance]time.Time // guarded by mu: when it was last sent SIGTERM
+	revoked      time.Time               // guarded by mu: start of the revocation, zero while the key is valid
+	hotReadTimes []time.Time             // guarded by mu
 	// disruptions and restorations are the times of the faults that matter for the usage
 	// reports; guarded by mu.
 	disruptions  []disruption
 	restorations []time.Time
 }
 
+func newRun(o Options) *run {
+	return &run{options: o, paused: map[string]time.Time{}, resumed: map[string]time.Time{}, terminated: map[*instance]time.Time{}}
+}
+
 // Run executes the plan of one seed. It returns an error if the run could not be
 // completed; violations are part of the result.
 func Run(ctx context.Context, o Options) (Result, error) {
-	r := &run{options: o, paused: map[string]time.Time{}, resumed: map[string]time.Time{}}
-	var err error
 	if o.Instances == 0 {
 		o.Instances = defaultInstances
 	}
+	if o.Planned {
+		return runPlanned(ctx, o)
+	}
+	r := newRun(o)
+	var err error
 	duty, scope := drawUsageDuty(o.Seed), drawServingScope(o.Seed)
 	r.result.Timeline = append(r.result.Timeline, "serving scope: "+scope.String())
-	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, duty, scope)
+	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, clusterSettings{
+		duty: duty, scope: scope, gracePeriod: gracePeriod, maxConnections: maxConnections,
+		workspaces: []standin.Workspace{
+			{Name: "coop", Keys: []string{stableKey, revocableKey}, Rate: 10000, Burst: 10000},
+			{Name: "small", Keys: []string{smallKey}, Rate: smallRate, Burst: smallBurst},
+		},
+	})
 	if r.cluster != nil {
 		defer r.cluster.close()
 	}
@@ -228,6 +246,19 @@
 	return r.revoked
 }
 
+func (r *run) recordTermination(in *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.terminated[in] = time.Now()
+}
+
+// terminatedAt returns when the instance was last sent SIGTERM; zero if never.
+func (r *run) terminatedAt(in *instance) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.terminated[in]
+}
+
 func (r *run) setExitExpected(in *instance, expected bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -377,18 +408,23 @@
 	for _, w := range all {
 		r.result.Served += w.served
 		r.result.Failed += w.failed
-		for c, x := range w.writes {
-			n := committed[c]
-			switch {
-			case n > 1:
-				r.reportViolation("%s: %v was committed %d times", x.instance, c, n)
-			case x.outcome == done && n == 0:
-				r.reportViolation("%s: %v was acknowledged but is lost", x.instance, c)
-			case x.outcome == notApplied && n > 0:
-				r.reportViolation("%s: %v was committed, but its client received an error that excludes it", x.instance, c)
-			case x.other != nil && committed[*x.other] != n:
-				r.reportViolation("%s: partial transaction: %v was committed %d times and %v %d times", x.instance, c, n, *x.other, committed[*x.other])
-			}
+		r.compareWrites(w.writes, committed)
+	}
+}
+
+// compareWrites compares the writes of one client with the commits of the group.
+func (r *run) compareWrites(writes map[standin.Commit]write, committed map[standin.Commit]int) {
+	for c, x := range writes {
+		n := committed[c]
+		switch {
+		case n > 1:
+			r.reportViolation("%s: %v was committed %d times", x.instance, c, n)
+		case x.outcome == done && n == 0:
+			r.reportViolation("%s: %v was acknowledged but is lost", x.instance, c)
+		case x.outcome == notApplied && n > 0:
+			r.reportViolation("%s: %v was committed, but its client received an error that excludes it", x.instance, c)
+		case x.other != nil && committed[*x.other] != n:
+			r.reportViolation("%s: partial transaction: %v was committed %d times and %v %d times", x.instance, c, n, *x.other, committed[*x.other])
 		}
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -38,15 +38,29 @@
 	}
 }
 
+// plannedRun is the duration of the work of TestShortPlannedRun. Stops that begin at its end
+// take the grace period more.
+const plannedRun = 3 * time.Second
+
+// TestShortPlannedRun guards against statements that planned work cuts off.
+func TestShortPlannedRun(t *testing.T) {
+	runOptions(t, soak.Options{Seed: 1, Duration: plannedRun, Planned: true})
+}
+
 func runSeed(t *testing.T, seed uint64, duration time.Duration, instances int) {
+	runOptions(t, soak.Options{Seed: seed, Duration: duration, Instances: instances})
+}
+
+func runOptions(t *testing.T, options soak.Options) {
 	g := NewWithT(t)
 	directory := t.TempDir()
 	binary := filepath.Join(directory, "mulberrygate")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/mulberrysill/mulberrysill/cmd/mulberrygate").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
-	result, err := soak.Run(t.Context(), soak.Options{Seed: seed, Duration: duration, Instances: instances, Binaries: []string{binary}, Directory: directory})
+	options.Binaries, options.Directory = []string{binary}, directory
+	result, err := soak.Run(t.Context(), options)
 	g.Expect(err).NotTo(HaveOccurred())
-	for _, line := range result.Timeline {
+	for _, line := range append(result.Timeline, result.Summary) {
 		t.Log(line)
 	}
 	if len(result.Violations) > 0 {
@@ -101,3 +115,35 @@
 	}
 	g.Expect(seen).To(HaveLen(len(soak.Kinds())))
 }
+
+// TestPlannedWorkIsPlanned guards against disruptions among the planned work, around which a
+// statement may be cut, and against plans that stop most instances at once or begin without a
+// stop.
+func TestPlannedWorkIsPlanned(t *testing.T) {
+	g := NewWithT(t)
+	allowed := []soak.Kind{
+		soak.InstanceTerminated, soak.InstanceReloaded, soak.ConfigurationChanged, soak.MemberReplaced, soak.PrimaryReplaced,
+	}
+	seen, overlaps := map[soak.Kind]bool{}, 0
+	for seed := range uint64(200) {
+		plan := soak.PlannedWork(seed, 20*time.Second, 4)
+		g.Expect(plan).To(Equal(soak.PlannedWork(seed, 20*time.Second, 4)))
+		g.Expect(plan[0].Kind).To(Equal(soak.InstanceTerminated), "seed %d", seed)
+		for i, f := range plan {
+			g.Expect(f.Kind).To(BeElementOf(allowed), "seed %d", seed)
+			seen[f.Kind] = true
+			stopping := map[int]bool{}
+			for _, other := range plan[:i+1] {
+				if other.Kind == soak.InstanceTerminated && f.From < other.Until {
+					stopping[other.Target] = true
+				}
+			}
+			g.Expect(len(stopping)).To(BeNumerically("<=", 2), "seed %d", seed)
+			if len(stopping) == 2 {
+				overlaps++
+			}
+		}
+	}
+	g.Expect(seen).To(HaveLen(len(allowed)))
+	g.Expect(overlaps).To(BeNumerically(">", 0), "stops that overlap")
+}
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	maxConnections = 60
 	// revocationBound is the time within which a revoked key must stop working.
 	revocationBound = 5 * time.Second
+	// gracePeriod is the time within which an instance must end after SIGTERM.
+	gracePeriod = 4 * time.Second
 	// replicaLag is the delay after which replicas show a commit.
 	replicaLag = 30 * time.Millisecond
 
@@ -50,8 +53,7 @@
 	store      *standin.Store
 	group      *standin.Group
 	promotions *standin.PromotionServer
-	duty       usageDuty
-	scope      placement.ServingScope
+	settings   clusterSettings
 	links      []*stack.Link
 	instances  []*instance
 	copies     copies
@@ -60,6 +62,15 @@
 	config   standin.Config // guarded by configMu
 }
 
+// clusterSettings are the settings of a run's instances and configuration.
+type clusterSettings struct {
+	duty           usageDuty
+	scope          placement.ServingScope
+	gracePeriod    time.Duration
+	maxConnections int
+	workspaces     []standin.Workspace
+}
+
 // copies holds the copies of the store of the last seconds.
 type copies struct {
 	mu   sync.Mutex
@@ -92,18 +103,15 @@
 	return c.list[i].Copy
 }
 
-func startCluster(directory string, binaries []string, instances int, duty usageDuty, scope placement.ServingScope) (*cluster, error) {
-	group, err := standin.NewGroup("orders", memberCount, maxConnections)
+func startCluster(directory string, binaries []string, instances int, settings clusterSettings) (*cluster, error) {
+	group, err := standin.NewGroup("orders", memberCount, settings.maxConnections)
 	if err != nil {
 		return nil, err
 	}
 	group.ApplyDelay = replicaLag
-	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group), duty: duty, scope: scope}
-	s.promotions.Usage.SetFencing(duty.fencing)
-	s.config = standin.Config{Version: 1, Group: group.Name, MaxConnections: maxConnections, Workspaces: []standin.Workspace{
-		{Name: "coop", Keys: []string{stableKey, revocableKey}, Rate: 10000, Burst: 10000},
-		{Name: "small", Keys: []string{smallKey}, Rate: smallRate, Burst: smallBurst},
-	}}
+	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group), settings: settings}
+	s.promotions.Usage.SetFencing(settings.duty.fencing)
+	s.config = standin.Config{Version: 1, Group: group.Name, MaxConnections: settings.maxConnections, Workspaces: settings.workspaces}
 	s.store.PutConfig(s.config)
 	s.copies.add(s.store)
 	server := stack.NewFaultServer()
@@ -145,14 +153,14 @@
 		"id": in.name, "zone": in.zone, "clientAddress": in.address, "readinessAddress": in.readiness,
 		"peerAddress": peerAddress, "peerAdvertisedAddress": in.peers.Addr(), "storeAddress": in.store.Addr(),
 		"dutyAddress": s.promotions.Listener.Addr().String(), "firstStart": true,
-		"revocationBound": revocationBound.String(), "gracePeriod": "4s",
+		"revocationBound": revocationBound.String(), "gracePeriod": s.settings.gracePeriod.String(),
 	}
-	if s.duty.expected {
+	if s.settings.duty.expected {
 		values["duties"] = []string{platform.UsageDuty}
 		values["usageReports"] = map[string]any{"window": usageWindow.String(), "lateness": "10s", "tolerance": usageTolerance}
 	}
-	if s.scope != placement.ServingByGroup {
-		values["servingScope"] = s.scope.String()
+	if s.settings.scope != placement.ServingByGroup {
+		values["servingScope"] = s.settings.scope.String()
 	}
 	settings, err := yaml.Marshal(values)
 	if err != nil {
@@ -173,13 +181,17 @@
 // registerMembers writes the members' entries into the store as their heartbeats
 // do, but with the addresses of their links.
 func (s *cluster) registerMembers() {
-	for i, m := range s.group.Members() {
-		entry := m.Entry("ready")
-		entry["address"] = s.links[i].Addr()
-		s.store.Put("servers", m.ID, entry)
+	for _, m := range s.group.Members() {
+		s.registerMember(m, "ready")
 	}
 }
 
+func (s *cluster) registerMember(m *standin.Member, state string) {
+	entry := m.Entry(state)
+	entry["address"] = s.links[slices.Index(s.group.Members(), m)].Addr()
+	s.store.Put("servers", m.ID, entry)
+}
+
 // expireMembers removes the members' entries and writes them again, as the store does
 // when it could renew no entry during an outage. The next response of the table's feed
 // holds the removals and the returns.
