Send the usages of a leaving instance to the collector only

Cause: an instance that leaves told all peers how much it had admitted. They took that for newer than the collector's next report, which includes it, ignored this report, and were detached without one.

Only the collector gets the usages now, as with the other exchanges of a large fleet that do not go to it.

Evidence: TestOnlyTheCollectorGetsTheUsagesOfALeavingInstance fails without the change and passes with it.

--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -136,5 +136,5 @@
 	defer cancel()
 	state := ps.localState(workspaceSet{})
 	state.Stopped = true
-	ps.sendToPeers(ctx, state).Wait()
+	ps.sendToPeers(ctx, func(string) *pb.State { return state }).Wait()
 }
--- a/pkg/gateway/exchange_test.go
+++ b/pkg/gateway/exchange_test.go
@@ -299,3 +299,28 @@
 		g.Expect(ps.liveInstances().instances).To(HaveLen(24), ps.gw.cfg.ID)
 	}
 }
+
+// Guards against instances that take a peer's departure for a report newer than those of the
+// collector: they ignored the collector's next one, were detached, and refused workspaces
+// within their limits during restarts in turn.
+func TestOnlyTheCollectorGetsTheUsagesOfALeavingInstance(t *testing.T) {
+	g := NewWithT(t)
+	for _, ps := range fleetOf(t, 30, 3)[:6] {
+		ps.gw.limits.configure([]catalog.Workspace{{Name: "coop", Rate: 10, Burst: 10}}, 1)
+		ps.gw.limits.admit("coop")
+		ps.hasLeft = true
+		collector, self := ps.collector()
+		g.Expect(self).To(BeFalse())
+		state := ps.leaveStates()
+		for id := range ps.byID {
+			g.Expect(state(id).Leaving).To(BeTrue())
+			if id == collector {
+				g.Expect(state(id).Usages).To(HaveLen(1))
+				g.Expect(state(id).Partial).To(BeFalse())
+			} else {
+				g.Expect(state(id).Usages).To(BeEmpty())
+				g.Expect(state(id).Partial).To(BeTrue(), "an empty report would count, too")
+			}
+		}
+	}
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -416,7 +416,7 @@
 	ps.mu.Lock()
 	ps.hasLeft, ps.fleet.outdated = true, true
 	ps.mu.Unlock()
-	ps.sendToPeers(ctx, ps.localState(nil))
+	ps.sendToPeers(ctx, ps.leaveStates())
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -426,15 +426,29 @@
 	}()
 }
 
-// sendToPeers sends the state to all live peers in the background. The returned group ends
+// leaveStates returns a function that returns the state to send to a peer as this instance
+// leaves. In a large fleet only the collector gets the usages: it reports them to the others,
+// which would take a direct report for newer than the collector's next one and ignore that.
+func (ps *peers) leaveStates() func(peer string) *pb.State {
+	collector, _ := ps.collector()
+	whole, withoutUsages := ps.localState(nil), ps.localState(workspaceSet{})
+	return func(peer string) *pb.State {
+		if collector == "" || peer == collector {
+			return whole
+		}
+		return withoutUsages
+	}
+}
+
+// sendToPeers sends a state to each live peer in the background. The returned group ends
 // when all calls have ended.
-func (ps *peers) sendToPeers(ctx context.Context, state *pb.State) *sync.WaitGroup {
+func (ps *peers) sendToPeers(ctx context.Context, state func(peer string) *pb.State) *sync.WaitGroup {
 	calls := new(sync.WaitGroup)
-	for _, c := range ps.clients() {
+	for id, c := range ps.clients() {
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			if _, err := c.Sync(ctx, state); err != nil {
+			if _, err := c.Sync(ctx, state(id)); err != nil {
 				ps.gw.log.WithField("event", "leave").WithError(err).Info("cannot inform peer of the departure")
 			}
 		})
