Answer statements whose packet was lost as their session was closed

A session is kept for 0.25 s after the error that ends it, which covers one packet that is sent again. Clients that close on the error end it sooner.

--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -20,6 +20,9 @@
 	// closeDrainTimeout bounds how long closing a connection reads pending
 	// client data.
 	closeDrainTimeout = 100 * time.Millisecond
+	// lateStatementWait is how long an instance that stops answers a statement that crosses
+	// the end of its session. It covers one packet that is lost and sent again after 200 ms.
+	lateStatementWait = 250 * time.Millisecond
 	// defaultStatementTimeout applies to routes that set no statement timeout.
 	defaultStatementTimeout = 2 * time.Second
 )
@@ -159,7 +162,7 @@
 	if s.client.Reject(e) != nil {
 		return
 	}
-	st, err := s.client.NextStatement(time.Now().Add(closeDrainTimeout))
+	st, err := s.client.NextStatement(time.Now().Add(lateStatementWait))
 	if malformed := new(verdict.Error); err == nil || errors.As(err, &malformed) {
 		s.failTransaction()
 		if st.Kind == statement.Commit || st.Kind == statement.Rollback {
