Share the clients and the crowded deployment of the specs of a stop

The specs of a planned stop and of relayed statements had copies of both. No check changes: the errors that may end a transaction are as before.

--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -61,6 +61,50 @@
 	return c.Client.Ready(state)
 }
 
+// transactionLoad is clients that read in transactions until their instance ends them.
+type transactionLoad struct {
+	inProgress, answered, cut atomic.Int64
+	running                   sync.WaitGroup
+	// refusal is the beginning of the error that ends a transaction.
+	refusal string
+}
+
+// start begins the client's transaction after the delay.
+func (l *transactionLoad) start(c *client, delay, pause time.Duration) {
+	l.running.Go(func() {
+		defer GinkgoRecover()
+		time.Sleep(delay)
+		for text := "BEGIN READ"; ; time.Sleep(pause) {
+			l.inProgress.Add(1)
+			answer := c.query(text)
+			l.inProgress.Add(-1)
+			switch {
+			case answer[len(answer)-1] == "closed":
+				l.cut.Add(1)
+				return
+			case text == "ROLLBACK":
+				return
+			case strings.HasPrefix(answer[0], "ERR"):
+				Expect(answer[0]).To(HavePrefix(l.refusal))
+				text = "ROLLBACK"
+			default:
+				l.answered.Add(1)
+				text = "READ x"
+			}
+		}
+	})
+}
+
+// expectAnswers waits for the end of the instance and expects that all statements had whole
+// answers by then, more than atLeast of them rows.
+func (l *transactionLoad) expectAnswers(i *instance, atLeast int) {
+	Eventually(i.ended, eventualTimeout).Should(Receive())
+	Expect(l.inProgress.Load()).To(BeZero(), "statements in progress as the instance ended")
+	l.running.Wait()
+	Expect(l.cut.Load()).To(BeZero(), "statements whose connection ended without an answer")
+	Expect(l.answered.Load()).To(BeNumerically(">", atLeast))
+}
+
 var _ = Describe("a planned stop", func() {
 	// Guards against statements that are sent to a member shortly before the process ends and
 	// get no answer.
@@ -68,45 +112,12 @@
 		const sessions = 4
 		d := newDeployment(1, 10000)
 		d.group.StatementTime = 150 * time.Millisecond
-		var inProgress, answered, cut atomic.Int64
-		var running sync.WaitGroup
-		var clients []*client
-		for range sessions {
-			clients = append(clients, d.instances[0].session("stock", "k1"))
+		load := transactionLoad{refusal: "ERR ABORTED"}
+		for n := range sessions {
+			load.start(d.instances[0].session("stock", "k1"), 1500*time.Millisecond+time.Duration(n)*30*time.Millisecond, 20*time.Millisecond)
 		}
 		d.instances[0].stop()
-		time.Sleep(1500 * time.Millisecond)
-		for n, c := range clients {
-			running.Go(func() {
-				defer GinkgoRecover()
-				time.Sleep(time.Duration(n) * 30 * time.Millisecond)
-				text := "BEGIN READ"
-				for {
-					inProgress.Add(1)
-					answer := c.query(text)
-					inProgress.Add(-1)
-					switch {
-					case answer[len(answer)-1] == "closed":
-						cut.Add(1)
-						return
-					case text == "ROLLBACK":
-						return
-					case strings.HasPrefix(answer[0], "ERR"):
-						Expect(answer[0]).To(HavePrefix("ERR ABORTED"))
-						text = "ROLLBACK"
-					default:
-						answered.Add(1)
-						text = "READ x"
-					}
-					time.Sleep(20 * time.Millisecond)
-				}
-			})
-		}
-		Eventually(d.instances[0].ended, eventualTimeout).Should(Receive())
-		Expect(inProgress.Load()).To(BeZero(), "statements in progress as the instance ended")
-		running.Wait()
-		Expect(cut.Load()).To(BeZero(), "statements whose connection ended without an answer")
-		Expect(answered.Load()).To(BeNumerically(">", sessions))
+		load.expectAnswers(d.instances[0], sessions)
 	})
 	// Guards against statements that began before the stop and wait for a member for longer
 	// than the grace period: their clients lost the connection without an answer.
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -95,6 +95,24 @@
 	return d
 }
 
+// newCrowdedDeployment starts three instances that serve so many workspaces besides, named w0
+// and so on, with the keys key0 and so on.
+func newCrowdedDeployment(workspaces int, options ...func(*deployment)) *deployment {
+	d := newDeployment(3, 1000, options...)
+	for n := range workspaces {
+		d.config.Workspaces = append(d.config.Workspaces, standin.Workspace{
+			Name: fmt.Sprintf("w%d", n), Keys: []string{fmt.Sprintf("key%d", n)}, Rate: 10000, Burst: 10000,
+		})
+	}
+	d.config.Version++
+	d.store.PutConfig(d.config)
+	last := fmt.Sprintf("key%d", workspaces-1)
+	for _, i := range d.instances {
+		Eventually(func() string { return i.queryOnce("orders", last, "READ a") }, eventualTimeout, pollInterval).Should(HavePrefix("ROW"))
+	}
+	return d
+}
+
 // servedByMember makes the instances serve each member by a set of its own.
 func servedByMember(d *deployment) { d.scope = placement.ServingByMember }
 
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -47,20 +47,7 @@
 	// Each instance may open 8 connections to a member, fewer than the 12
 	// workspaces in use.
 	const workspaces = 12
-	start := func() *deployment {
-		d := newDeployment(3, 1000, option)
-		for n := range workspaces {
-			d.config.Workspaces = append(d.config.Workspaces, standin.Workspace{
-				Name: fmt.Sprintf("w%d", n), Keys: []string{fmt.Sprintf("key%d", n)}, Rate: 10000, Burst: 10000,
-			})
-		}
-		d.config.Version = 2
-		d.store.PutConfig(d.config)
-		for _, i := range d.instances {
-			Eventually(func() string { return i.queryOnce("orders", "key11", "READ a") }, eventualTimeout, pollInterval).Should(HavePrefix("ROW"))
-		}
-		return d
-	}
+	start := func() *deployment { return newCrowdedDeployment(workspaces, option) }
 	It("run at the owner of the workspace instead of opening a connection for each statement", func() {
 		d := start()
 		run := func(rounds int) {
