Order the present primary only if no other member may lead

Commits acknowledged by a successor could be lost: an order for the present primary, sent because the member of an older order without an answer was silent for a moment, was forgotten once that member led, and could still be carried out, with the newest token. It could also be sent after the older order had been carried out.

The present primary is ordered only after a fresh look at both members, and not while the other one is listed and silent. Once a successor leads, the change has ended only when no newer order for another member is left: the successor is ordered under a newer token, which changes nothing else.

Found by a review.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -362,7 +362,7 @@
 			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
 			go c.demoteFormer(status.Term)
 			// The promotion has ended all pauses of replicas that knew of it.
-			c.orders.pending, c.pausedReplicas = false, c.pausedAgain
+			c.orders.pending, c.pausedReplicas = !c.voidOtherOrders(ctx, successor.ID), c.pausedAgain
 			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
 			return true, nil
 		}
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/revision"
+	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
 // unfinishedRetryInterval is the delay between two attempts to finish a change of primary
-// that this instance or a former holder of the promotion lease has left behind.
-const unfinishedRetryInterval = time.Second
+// that this instance or a former holder of the promotion lease has left behind, and
+// uncheckedRetryInterval that between two looks at a silent replica.
+const unfinishedRetryInterval, uncheckedRetryInterval = time.Second, 5 * time.Second
 
 // groupOrders is what an instance knows of the promotions that have been ordered in a group.
 // The platform may carry out an order without an answer seconds later and after newer ones.
@@ -22,19 +26,34 @@
 	// promoted, or "" if it is not known.
 	pending bool
 	member  string
+	// unchecked is set while a former holder of the promotion lease may have left a replica
+	// paused that has not answered yet.
+	unchecked bool
 	// unanswered is the member of the newest order of this instance without an answer, and
 	// unansweredToken its fencing token.
 	unanswered      string
 	unansweredToken revision.Revision
 }
 
-// promote orders a promotion.
+// dueAfter returns how long after the last attempt the next one to finish a change is due, or
+// false if there is nothing to finish.
+func (o *groupOrders) dueAfter() (time.Duration, bool) {
+	if o.pending {
+		return unfinishedRetryInterval, true
+	}
+	return uncheckedRetryInterval, o.unchecked
+}
+
+// promote orders a promotion. Once it has been answered, the platform refuses all orders with
+// older tokens.
 func (c *primaryChange) promote(ctx context.Context, duty Duty, member string) error {
 	c.orders.pending, c.orders.member = true, member
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := c.controller.gw.cfg.Promoter.Promote(ctx, duty, c.pool.name, member)
-	if err != nil && !errors.Is(err, ErrFenced) && !errors.Is(err, ErrNotAccepted) {
+	if err == nil {
+		c.orders.unanswered = ""
+	} else if !errors.Is(err, ErrFenced) && !errors.Is(err, ErrNotAccepted) {
 		c.orders.unanswered, c.orders.unansweredToken = member, duty.Token
 	}
 	return err
@@ -60,11 +79,13 @@
 // present primary: orders for both could be carried out one after the other, and the last one
 // may lack commits acknowledged in between.
 func (c *primaryChange) finishOrdered(ctx context.Context) bool {
-	if !c.orders.pending {
+	if !c.orders.pending && !c.orders.unchecked {
 		return false
 	}
 	members, primary, _, _ := c.pool.snapshot()
-	statuses := c.callMembers(ctx, nil)
+	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
+		return statement.Statement{Kind: statement.Status}, m.ID != c.primary || c.asksPrimary()
+	})
 	var unpaused []Member
 	paused, silent := 0, 0
 	for i := range members {
@@ -81,16 +102,17 @@
 		}
 	}
 	if c.orders.member == "" && paused == 0 {
-		c.orders.pending = silent > 0 // a silent replica may be paused
+		c.orders.pending, c.orders.unchecked = false, silent > 0
 		return false
 	}
+	c.orders.pending, c.orders.unchecked = true, false
 	if len(unpaused) == 1 {
 		successor := unpaused[0]
 		c.orders.member = successor.ID
 		switch {
 		case statuses[successor.ID].Role != group.Primary:
 		case successor.ID == primary:
-			c.orders.pending = false
+			c.orders.pending = !c.voidOtherOrders(ctx, successor.ID)
 			return true
 		default:
 			done, _ := c.awaitPrimary(ctx, successor)
@@ -110,11 +132,48 @@
 	return false
 }
 
+// voidOtherOrders makes the platform refuse an order without an answer for another member
+// than the leader, which would otherwise lose the lead once it is carried out. It reports
+// whether there is none any more.
+func (c *primaryChange) voidOtherOrders(ctx context.Context, leader string) bool {
+	other := c.orders.unanswered
+	if other == "" || other == leader {
+		return true
+	}
+	duty, ok := c.awaitTokenFor(ctx, leader)
+	if !ok {
+		return false
+	}
+	if err := c.promote(ctx, duty, leader); err != nil {
+		c.orders.unanswered, c.orders.unansweredToken = other, duty.Token
+		c.log().WithFields(logrus.Fields{"leader": leader, "ordered": other}).WithError(err).Warn("cannot void the order of another member")
+		return false
+	}
+	return true
+}
+
+// stillLeads reports whether the primary leads and the member that was to be promoted does
+// not. A member that is listed and silent may lead.
+func (c *primaryChange) stillLeads(ctx context.Context, primary string) bool {
+	ordered := c.orders.member
+	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
+		return statement.Statement{Kind: statement.Status}, m.ID == primary || m.ID == ordered
+	})
+	if s, answered := statuses[primary]; !answered || s.Role != group.Primary {
+		return false
+	}
+	if s, answered := statuses[ordered]; answered || ordered == "" {
+		return ordered == primary || s.Role != group.Primary
+	}
+	members, _, _, _ := c.pool.snapshot()
+	return !slices.ContainsFunc(members, func(m poolMember) bool { return m.ID == ordered && m.unlistedSince.IsZero() })
+}
+
 // keepPrimary makes the platform refuse older orders by promoting the present primary, which
-// changes nothing.
+// changes nothing. The order may be carried out until then, so that it looks again just before.
 func (c *primaryChange) keepPrimary(ctx context.Context, primary string) {
 	duty, ok := c.awaitTokenFor(ctx, primary)
-	if !ok {
+	if !ok || !c.stillLeads(ctx, primary) {
 		return
 	}
 	ordered := c.orders.member
