Resume replicas as soon as the present primary is kept

Commits could wait for up to 12 s: a change that voided an older order, by ordering the present primary, resumed the replicas only at its own end, and the paused ones were the reason for which it went on.

Evidence: TestReplicasAreResumedOnceThePresentPrimaryIsKept fails without the change and passes with it.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -85,6 +85,7 @@
 	if c.finishOrdered(ctx) || c.reason == promotion.Unfinished {
 		return
 	}
+	c.resumeUnlessOrdered() // those that a former change left paused
 	for ctx.Err() == nil {
 		if !c.controller.mayAct() {
 			// Replicas must not be paused meanwhile.
--- a/pkg/gateway/unfinished_test.go
+++ b/pkg/gateway/unfinished_test.go
@@ -107,3 +107,27 @@
 	g.Expect(promoter.orders).To(BeEmpty())
 	g.Expect(change.orders.pending).To(BeTrue())
 }
+
+// Guards against replicas that stay paused, so that commits wait, until a change ends that
+// goes on after an older one has been voided.
+func TestReplicasAreResumedOnceThePresentPrimaryIsKept(t *testing.T) {
+	g := NewWithT(t)
+	orders := groupOrders{pending: true, member: "r1", unanswered: "r1", unansweredToken: 5}
+	members := &ledMembers{pausableMembers: pausableMembers{paused: map[string]uint64{"r2": 2}}, leader: "primary", silent: map[string]bool{"r1": true}}
+	promoter := &orderRecorder{}
+	change := changeWithOrders(members, promoter, promotion.Leaving, orders, "r1")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		change.run(ctx)
+		close(done)
+	}()
+	g.Eventually(func() int {
+		members.mu.Lock()
+		defer members.mu.Unlock()
+		return len(members.paused)
+	}, changeTimeout/2).Should(BeZero())
+	cancel()
+	g.Eventually(done, changeTimeout).Should(BeClosed())
+	g.Expect(promoter.orders).To(ContainElement("primary"))
+}
