Replace a primary that is down before former changes are finished

After a claim of the promotion lease each group is looked at for what a former holder has left. That change waited 0.5 s for a primary that was down, and kept the group's failover from starting; a silent replica made it start again each second.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -102,8 +102,7 @@
 	plannedChangeAt time.Time
 	orders          groupOrders
 	// checkedClaim is the number of the claim of the promotion lease since which the orders
-	// of former holders have been looked for, and unfinishedAt when a change was last to
-	// finish them.
+	// of former holders have been looked for, and unfinishedAt when a change last ended.
 	checkedClaim int64
 	unfinishedAt time.Time
 	// noPrimarySince is when the responding members were first found to
@@ -386,9 +385,12 @@
 		p.probeUnlisted(ctx, primary)
 	}
 	_, self, _ := c.gw.peers.dutyHolder()
-	if self && (g.orders.pending || g.checkedClaim != c.claims.Load()) && now.Sub(g.unfinishedAt) > unfinishedRetryInterval {
-		g.unfinishedAt = now
-		c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
+	// A primary that is down is replaced first, by a change that also finishes former ones.
+	if self && (current == nil || !current.down) {
+		after, due := g.orders.dueAfter()
+		if g.checkedClaim != c.claims.Load() || (due && now.Sub(g.unfinishedAt) > after) {
+			c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
+		}
 	}
 	if self && primary == "" && !g.noPrimarySince.IsZero() && now.Sub(g.noPrimarySince) > noPrimaryTimeout {
 		c.startPrimaryChange(ctx, p, "", promotion.NoPrimary)
@@ -534,7 +536,7 @@
 	}
 	go func() {
 		change.run(ctx)
-		c.enqueue(func() { g.changeRunning, g.orders = false, change.orders })
+		c.enqueue(func() { g.changeRunning, g.orders, g.unfinishedAt = false, change.orders, time.Now() })
 	}()
 }
 
