--- a/test/soak/planned.go
+++ b/test/soak/planned.go
@@ -24,7 +24,7 @@
 	// lossSlack is the platform's limit: within it after a statement was sent, its connection
 	// may end without an answer if no member has the statement.
 	lossSlack = 200 * time.Millisecond
-	// lateSend is the time after SIGTERM until which a statement must be answered even if its
+	// lateSend is the time after SIGTERM from which on a statement must be answered even if its
 	// member is at work in the last sixth of the grace period.
 	lateSend = 3 * time.Second
 	// minStall is the delay from which on the soak counts as stalled.
