Make the test of newer tokens fail without the wait for one

TestAnOrderForAnotherMemberHasANewerToken passed with its mechanism off: the order without an answer took so long that the claim was renewed in any case. The order now fails at once, so that only the wait brings a newer token. The checks of the test are as before.

--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -139,7 +139,7 @@
 	store.duty = Duty{Holder: "a", Started: a.started, Token: 5}
 	a.peers.updateDuty(store.duty)
 	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
-	a.cfg.Promoter = silentPromoter{func(string) {}}
+	a.cfg.Promoter = &orderRecorder{err: context.DeadlineExceeded} // at once, so that no renewal is due
 	change := &primaryChange{controller: a.controller, pool: newPool("g", "z", nil, nil, func(poolEvent) {})}
 	first, ok := change.awaitTokenFor(context.Background(), "r1")
 	g.Expect(ok).To(BeTrue())
