Log what a promotion is based on, and when its order was accepted

Lines of one change differ only in what was missing.

The holder of the promotion lease now writes one line for each proof: the members with what they have received or that they are silent, the highest acknowledged position, whether the instances' knowledge is complete, the term of the pause and the revision of the list; and one for each accepted order with its token and the age of the proof. Two lines for a change of primary.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -254,8 +254,10 @@
 		}
 		statuses[successor.ID] = status
 		candidates := c.candidatesWithStatus(members, statuses)
-		if promotion.MayPromote(successor.ID, candidates, c.primary, c.knowledge(ctx, candidates)) {
+		known := c.knowledge(ctx, candidates)
+		if promotion.MayPromote(successor.ID, candidates, c.primary, known) {
 			c.confirmedAt = time.Now()
+			c.logProof(successor, candidates, known)
 			return true
 		}
 		sleep(ctx, primaryPollInterval)
@@ -263,6 +265,31 @@
 	return false
 }
 
+// logProof logs what the promotion of the successor is based on.
+func (c *primaryChange) logProof(successor Member, candidates []promotion.Member, known promotion.Knowledge) {
+	var logs []string
+	for i := range candidates {
+		m := &candidates[i]
+		state := "silent"
+		if m.Answered {
+			state = m.Received.String()
+		}
+		if m.UnlistedFor > 0 {
+			state += " unlisted"
+		}
+		logs = append(logs, m.ID+" "+state)
+	}
+	slices.Sort(logs)
+	fields := logrus.Fields{
+		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "complete": known.Complete, "members": logs,
+		"pauseTerm": c.term, "ms": time.Since(c.started).Milliseconds(),
+	}
+	if list := c.controller.gw.memberList.Load(); list != nil {
+		fields["listRevision"] = list.revision
+	}
+	c.log().WithFields(fields).Info("the successor holds every acknowledged commit")
+}
+
 // resumeUnlessOrdered resumes the paused replicas unless a promotion may still be carried
 // out. While all replicas but one are paused, losing that one would stop all
 // commits.
@@ -334,6 +361,7 @@
 		err := c.promote(ctx, duty, successor.ID)
 		switch {
 		case err == nil:
+			c.log().WithFields(logrus.Fields{"successor": successor.ID, "token": duty.Token, "proofAgeMs": time.Since(c.confirmedAt).Milliseconds()}).Info("promotion order accepted")
 			return c.awaitPrimary(ctx, successor)
 		case errors.Is(err, ErrFenced):
 			// Either the token is outdated or the member is not running;
