Fence commits before a promotion is ordered

Cause: the proof that the successor holds every acknowledged commit is about the members that the holder of the promotion lease lists and that answer. A replica that receives and is not listed yet, or that joins between the proof and the effect of the order, is not paused: the primary, if it runs, goes on to acknowledge commits through it until the promotion takes effect.

Change: every acknowledgement reaches its client through an instance, and the instances are known. Right before an order the holder sets a commit fence at all of them and collects the highest positions that they know to be acknowledged. Behind the fence an instance passes on an acknowledgement only once the successor has received the commit, as its status shows, or once the promotion has an outcome; a commit that it may have discarded ends with an unknown outcome. If the primary presumably does not work, no commits are sent to it, and writes wait for the new primary. If an instance cannot be fenced, the logs of the members must show every commit, as before.

Replicas that are silent no longer keep a primary that too many instances do not reach: with all instances fenced it need not be out of reach of all.

Price: one call to each instance and one status call to the successor for each order. While a planned change is on its way a commit costs a status call to the successor besides.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -33,7 +33,7 @@
 			return nil, p.memberUnavailableError(req.member)
 		}
 		if len(candidates) == 0 {
-			if len(req.excluded) > 0 || (!p.primaryChanging && now.Sub(started) >= noMemberWait) {
+			if len(req.excluded) > 0 || (!p.awaitsPrimary(now) && now.Sub(started) >= noMemberWait) {
 				p.mu.Unlock()
 				return nil, p.queueFullError("no member can take the statement")
 			}
@@ -173,6 +173,9 @@
 		if m.down || req.excluded[m.ID] || (req.needsPrimary && m.ID != p.primary) {
 			continue
 		}
+		if req.commits && !p.takesCommits(m.ID, now) {
+			continue
+		}
 		if !m.acceptsWork(req.needsPrimary, now) || (!req.needsPrimary && now.Before(m.readBackoffUntil)) {
 			continue
 		}
--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -41,6 +41,8 @@
 	// commit is repeated before the promotion is ordered. Replicas that restart have
 	// forgotten that they are paused.
 	maxSuccessorProofAge = 500 * time.Millisecond
+	// catchUpPolls is how often the successor is asked whether it has every commit.
+	catchUpPolls = 4
 )
 
 // primaryChange replaces the primary of a group. It runs in its own goroutine
@@ -57,8 +59,10 @@
 	pausedReplicas []Member
 	// pausedAgain are the replicas that were paused after the promotion had been ordered.
 	pausedAgain []Member
-	// confirmedAt is when the successor was last confirmed to hold every commit.
-	confirmedAt time.Time
+	// confirmedAt is when the successor was last confirmed to hold every commit, and
+	// confirmedLog what it had received then.
+	confirmedAt  time.Time
+	confirmedLog group.Position
 	// orders are the promotions ordered before, by this change or by earlier ones.
 	orders groupOrders
 }
@@ -247,24 +251,67 @@
 // the pause, so that a member that has joined since the successor was chosen counts as not
 // paused.
 func (c *primaryChange) awaitCatchUp(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) bool {
-	for range 4 {
-		status, err := c.pool.controlCall(ctx, successor, statement.Statement{Kind: statement.Status})
-		if err != nil {
+	for range catchUpPolls {
+		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
+		if !ok {
 			return false
 		}
-		statuses[successor.ID] = status
-		candidates := c.candidatesWithStatus(members, statuses)
-		known := c.knowledge(ctx, candidates)
+		if promotion.MayPromote(successor.ID, candidates, c.primary, c.knowledge(ctx, candidates)) {
+			return c.confirmFenced(ctx, members, successor, statuses)
+		}
+		sleep(ctx, primaryPollInterval)
+	}
+	return false
+}
+
+// candidatesWithSuccessor asks the successor for its status and combines it with those of the
+// other members.
+func (c *primaryChange) candidatesWithSuccessor(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) ([]promotion.Member, bool) {
+	status, err := c.callMember(ctx, successor, statement.Statement{Kind: statement.Status})
+	if err != nil {
+		return nil, false
+	}
+	statuses[successor.ID] = status
+	return c.candidatesWithStatus(members, statuses), true
+}
+
+// confirmFenced sets a commit fence and reports whether the successor holds all commits that
+// were acknowledged before. Members that this instance does not know may have acknowledged
+// some of them. If an instance cannot be fenced, the logs of the members must show them all.
+func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) bool {
+	complete := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
+	for range catchUpPolls {
+		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
+		if !ok {
+			break
+		}
+		known := promotion.Knowledge{Acknowledged: c.acknowledged, Complete: complete}
 		if promotion.MayPromote(successor.ID, candidates, c.primary, known) {
-			c.confirmedAt = time.Now()
+			c.confirmedAt, c.confirmedLog = time.Now(), statuses[successor.ID].Received
 			c.logProof(successor, candidates, known)
 			return true
 		}
 		sleep(ctx, primaryPollInterval)
 	}
+	if !c.orders.pending {
+		c.endFence(false)
+	}
 	return false
 }
 
+// decidingMember returns the member that decides which commits are acknowledged behind the
+// fence: the successor if the primary presumably works and all known replicas but the successor
+// are paused, so that it receives the commits. Otherwise nobody does, and writes wait for the
+// new primary rather than end with an unknown outcome. An order without an answer can take
+// seconds, for which writes should not wait.
+func (c *primaryChange) decidingMember(successor Member, candidates []promotion.Member) string {
+	mayWork := c.reason.IsPlanned() || (c.orders.pending && c.reason != promotion.CutOff)
+	if mayWork && promotion.MayPromote(successor.ID, candidates, c.primary, promotion.Knowledge{Acknowledged: c.acknowledged}) {
+		return successor.ID
+	}
+	return ""
+}
+
 // logProof logs what the promotion of the successor is based on.
 func (c *primaryChange) logProof(successor Member, candidates []promotion.Member, known promotion.Knowledge) {
 	var logs []string
@@ -282,7 +329,7 @@
 	slices.Sort(logs)
 	fields := logrus.Fields{
 		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "complete": known.Complete, "members": logs,
-		"pauseTerm": c.term, "ms": time.Since(c.started).Milliseconds(),
+		"fencedInstances": c.orders.fence.instances, "pauseTerm": c.term, "ms": time.Since(c.started).Milliseconds(),
 	}
 	if list := c.controller.gw.memberList.Load(); list != nil {
 		fields["listRevision"] = list.revision
@@ -297,6 +344,7 @@
 	if c.orders.pending {
 		return
 	}
+	c.endFence(false)
 	ctx, cancel := context.WithTimeout(context.Background(), becomePrimaryTimeout)
 	defer cancel()
 	c.resumeReplicas(ctx)
@@ -387,8 +435,13 @@
 		if err == nil && status.Role == group.Primary {
 			c.pool.mu.Lock()
 			c.pool.setPrimary(successor.ID, status.Term)
+			c.pool.promotedAt = c.confirmedLog
 			c.pool.mu.Unlock()
-			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
+			c.announcePrimary(&pb.Primary{
+				Group: c.pool.name, Member: successor.ID, Term: status.Term,
+				PromotedTerm: c.confirmedLog.Term, PromotedIndex: c.confirmedLog.Index,
+			})
+			c.orders.fence = orderedFence{} // the new primary ends the fences of the instances
 			go c.demoteFormer(status.Term)
 			// The promotion has ended all pauses of replicas that knew of it.
 			c.orders.pending, c.pausedReplicas = !c.voidOtherOrders(ctx, successor.ID), c.pausedAgain
@@ -421,8 +474,10 @@
 	}
 }
 
+// announcePrimary tells the instances which member leads, also those that are leaving: they
+// may hold back answers to commits.
 func (c *primaryChange) announcePrimary(primary *pb.Primary) {
-	for _, client := range c.controller.gw.peers.clients() {
+	for _, client := range c.controller.gw.peers.reporters() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			defer cancel()
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -147,6 +147,10 @@
 func (p *pool) interruptStatements() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.interrupted {
+		p.interrupted = true
+		p.notifyMembersChanged() // commits whose answers are held back
+	}
 	interrupt := func(m *poolMember) {
 		for c := range m.running {
 			if !c.busySince.IsZero() {
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -19,47 +19,66 @@
 // instanceAnswers is what the instances know about a primary and its commits.
 type instanceAnswers struct {
 	votes promotion.Votes
-	// allAnswered is set if all instances that are alive have answered.
+	// allAnswered is set if all instances that may be running have answered.
 	allAnswered bool
 }
 
-// askInstances asks all instances whether they can reach the primary, and which commits
-// they have seen acknowledged.
-func (c *primaryChange) askInstances(ctx context.Context) instanceAnswers {
-	gw := c.controller.gw
-	clients := gw.peers.reporters()
+// callReporters calls all peers that may be running, at once. It returns the answers, and
+// whether all of them have answered.
+func callReporters[T any](ctx context.Context, c *primaryChange, call func(context.Context, pb.Gate) (T, error)) (answers []T, all bool) {
+	clients := c.controller.gw.peers.reporters()
 	type answer struct {
-		reach, ok    bool
-		acknowledged group.Position
+		value T
+		err   error
 	}
-	answers := make(chan answer, len(clients)+1)
-	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
-	defer cancel()
+	results := make(chan answer, len(clients))
 	for id, client := range clients {
 		go func() {
-			r, err := client.CheckPrimary(ctx, &pb.CheckPrimaryRequest{Group: c.pool.name, Member: c.primary})
+			value, err := call(ctx, client)
 			if err != nil {
 				c.log().WithField("peer", id).WithError(err).Info("instance does not tell which commits it knows")
-				answers <- answer{} // no vote, and its commits are unknown
-				return
 			}
-			answers <- answer{r.Reachable, true, group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}}
+			results <- answer{value, err}
 		}()
 	}
+	all = true
+	for range clients {
+		if a := <-results; a.err == nil {
+			answers = append(answers, a.value)
+		} else {
+			all = false
+		}
+	}
+	return answers, all
+}
+
+// askInstances asks all instances whether they can reach the primary, and which commits
+// they have seen acknowledged.
+func (c *primaryChange) askInstances(ctx context.Context) instanceAnswers {
+	type view struct {
+		reaches      bool
+		acknowledged group.Position
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
+	defer cancel()
+	own := make(chan view, 1)
 	go func() {
-		reach, acknowledged := gw.checkPrimary(ctx, c.pool.name, c.primary)
-		answers <- answer{reach, true, acknowledged}
+		reaches, acknowledged := c.controller.gw.checkPrimary(ctx, c.pool.name, c.primary)
+		own <- view{reaches, acknowledged}
 	}()
-	out := instanceAnswers{allAnswered: true}
-	for range len(clients) + 1 {
-		a := <-answers
-		c.noteAcknowledged(a.acknowledged)
-		switch {
-		case !a.ok:
-			out.allAnswered = false
-		case a.reach:
+	views, all := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (view, error) {
+		r, err := client.CheckPrimary(ctx, &pb.CheckPrimaryRequest{Group: c.pool.name, Member: c.primary})
+		if err != nil {
+			return view{}, err // no vote, and its commits are unknown
+		}
+		return view{r.Reachable, group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}}, nil
+	})
+	out := instanceAnswers{allAnswered: all}
+	for _, v := range append(views, <-own) {
+		c.noteAcknowledged(v.acknowledged)
+		if v.reaches {
 			out.votes.Reachable++
-		default:
+		} else {
 			out.votes.Unreachable++
 		}
 	}
@@ -73,22 +92,28 @@
 }
 
 // knowledge returns what is known about acknowledged commits. The instances are asked only
-// if the logs of the members do not show them.
+// if the logs of the members do not show them. They are kept from committing if some of them
+// reach the primary, too many do not, and a member has all commits that they know.
 func (c *primaryChange) knowledge(ctx context.Context, candidates []promotion.Member) promotion.Knowledge {
 	_, _, _, acknowledged := c.pool.snapshot()
 	c.noteAcknowledged(acknowledged)
-	complete := false
-	if promotion.NeedsCompleteKnowledge(candidates, c.primary) {
-		answers := c.askInstances(ctx)
-		unreported := c.controller.gw.peers.unreported(time.Now())
-		complete = answers.allAnswered && answers.votes.Reachable == 0 && unreported == ""
-		if !complete {
-			c.log().WithFields(logrus.Fields{
-				"reach": answers.votes.Reachable, "fail": answers.votes.Unreachable, "allAnswered": answers.allAnswered, "unreported": unreported,
-			}).Info("a replica is silent, and the instances may not know all commits that it has")
-		}
+	if !promotion.NeedsCompleteKnowledge(candidates, c.primary) {
+		return promotion.Knowledge{Acknowledged: c.acknowledged}
+	}
+	answers := c.askInstances(ctx)
+	unreported := c.controller.gw.peers.unreported(time.Now())
+	known := promotion.Knowledge{Acknowledged: c.acknowledged, Complete: answers.allAnswered && unreported == ""}
+	if answers.votes.Reachable > 0 {
+		_, provable := promotion.Choose(candidates, c.primary, known)
+		known.Complete = provable && c.reason == promotion.Unreachable && c.fenceCommits(ctx, "")
+		known.Acknowledged = c.acknowledged
+	}
+	if !known.Complete {
+		c.log().WithFields(logrus.Fields{
+			"reach": answers.votes.Reachable, "fail": answers.votes.Unreachable, "allAnswered": answers.allAnswered, "unreported": unreported,
+		}).Info("a replica is silent, and the instances may not know all commits that it has")
 	}
-	return promotion.Knowledge{Acknowledged: c.acknowledged, Complete: complete}
+	return known
 }
 
 // reporters returns the clients of the peers that may be running, by ID. Unlike clients, it
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -414,6 +414,7 @@
 	out := &pb.Primary{
 		Group: p.name, Member: p.primary, Term: p.term, SampleAgeMs: -1,
 		AcknowledgedTerm: p.acknowledged.Term, AcknowledgedIndex: p.acknowledged.Index,
+		PromotedTerm: p.promotedAt.Term, PromotedIndex: p.promotedAt.Index,
 	}
 	if askedAt, position, ok := p.positionSamples.Newest(); ok {
 		out.SampleTerm, out.SampleIndex = position.Term, position.Index
@@ -427,6 +428,9 @@
 		p.recordCommit(group.Position{Term: primary.AcknowledgedTerm, Index: primary.AcknowledgedIndex})
 		p.mu.Lock()
 		p.setPrimary(primary.Member, primary.Term)
+		if promoted := (group.Position{Term: primary.PromotedTerm, Index: primary.PromotedIndex}); p.primary == primary.Member && p.term == primary.Term && promoted.Compare(p.promotedAt) > 0 {
+			p.promotedAt = promoted
+		}
 		p.mu.Unlock()
 	}
 }
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -130,21 +130,27 @@
 
 func (s *session) runWrite(ctx context.Context, op *operation) (statement.Reply, error) {
 	p, req := op.pool, op.connRequest()
-	req.needsPrimary = true
+	req.needsPrimary, req.commits = true, true
 	var last error
 	for range writeAttempts {
 		conn, err := p.acquire(ctx, req, op.rec)
 		if err != nil {
 			return statement.Reply{}, err
 		}
+		if !p.mayCommitAt(conn.member.ID) {
+			p.release(conn, true)
+			continue // the next one is acquired once the fence has ended
+		}
 		op.rec.noteAttempt(conn)
 		asked := bootTime()
 		reply, sent, err := s.send(conn, p, op.Statement, op.deadline)
 		switch {
 		case err == nil && reply.Err == nil:
-			p.recordLeadership(conn, asked, reply.Position)
-			s.recordCommit(p, reply.Position)
 			p.release(conn, true)
+			if err := s.settleCommit(ctx, conn, p, reply.Position, op.deadline); err != nil {
+				return statement.Reply{}, err
+			}
+			p.recordLeadership(conn, asked, reply.Position)
 			return reply, nil
 		case err == nil:
 			p.release(conn, true)
@@ -181,11 +187,15 @@
 	}
 }
 
-// recordCommit records the position of an acknowledged commit of this session.
-func (s *session) recordCommit(p *pool, at group.Position) {
-	p.recordCommit(at)
+// settleCommit records the position of an acknowledged commit of this session, or returns an
+// error if the commit may have been discarded.
+func (s *session) settleCommit(ctx context.Context, conn *pooledConn, p *pool, at group.Position, deadline time.Time) error {
+	if err := p.settleCommit(ctx, conn.member.ID, at, deadline); err != nil {
+		return err
+	}
 	s.commits.Record(p.name, at)
 	s.committedGroup = p.name
+	return nil
 }
 
 // readFloor returns the minimum position that a read of the route must see. It
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/pace"
 	"github.com/mulberrysill/mulberrysill/core/placement"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
@@ -78,6 +79,17 @@
 	// expected.
 	primaryChanging bool
 	membersChanged  chan struct{}
+	// fence keeps commits away from a primary that is being replaced.
+	fence promotion.CommitFence
+	// successorLog is what the successor of the fenced primary is known to have received, and
+	// pollingSuccessor is set while it is asked.
+	successorLog     group.Position
+	pollingSuccessor bool
+	// promotedAt is a position that the primary had received when its promotion was ordered;
+	// zero if it is not known.
+	promotedAt group.Position
+	// interrupted is set once this instance stops and waits no longer for members.
+	interrupted     bool
 	leadership      leadershipChecks
 	positionSamples consistency.PrimaryPositionLog
 	acknowledged    group.Position
@@ -186,6 +198,8 @@
 	// needsPrimary restricts the request to the primary; otherwise any member
 	// is acceptable.
 	needsPrimary bool
+	// commits restricts the request to members to which commits may be sent.
+	commits bool
 	// member restricts the request to one member; "" does not.
 	member   string
 	excluded map[string]bool
@@ -277,6 +291,11 @@
 func (p *pool) recordCommit(at group.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteCommit(at)
+}
+
+// noteCommit is recordCommit for callers that hold p.mu.
+func (p *pool) noteCommit(at group.Position) {
 	if at.Compare(p.acknowledged) > 0 {
 		p.acknowledged = at
 	}
@@ -304,6 +323,15 @@
 		return false
 	}
 	former := p.members[p.primary]
+	if former == nil || former.ID != id {
+		p.promotedAt = group.Position{}
+		if p.fence.Successor() == id {
+			p.promotedAt = p.successorLog
+		}
+		if former != nil {
+			p.fence.End(former.ID, 0)
+		}
+	}
 	p.primary, p.term, p.primaryChanging = id, term, false
 	if m := p.members[id]; m.pace != nil && (former == nil || former.ID != id) {
 		m.pace.Promoted(time.Now())
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -66,7 +66,7 @@
 	var targets []placement.Target
 	for id, m := range p.members {
 		isPrimary := id == p.primary
-		if (m.down && m.served) || req.excluded[id] || (req.needsPrimary && !isPrimary) || !m.acceptsWork(req.needsPrimary, now) {
+		if (m.down && m.served) || req.excluded[id] || (req.needsPrimary && !isPrimary) || (req.commits && !p.takesCommits(id, now)) || !m.acceptsWork(req.needsPrimary, now) {
 			continue
 		}
 		t := placement.Target{
@@ -164,7 +164,7 @@
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
 	limit := m.started.Add(max(maxQueueWait(m.route), noMemberWait))
-	if m.pool.primaryChanging && m.req.needsPrimary || limit.After(m.deadline) {
+	if m.pool.awaitsPrimary(time.Now()) && m.req.needsPrimary || limit.After(m.deadline) {
 		limit = m.deadline
 	}
 	left := time.Until(limit)
@@ -226,7 +226,7 @@
 	isWrite := s.isWrite(op.Statement)
 	search := &memberSearch{
 		pool: op.pool, route: op.route, started: op.rec.started, deadline: op.deadline, isRead: !isWrite,
-		req: connRequest{workspace: op.workspace.Name, needsPrimary: isWrite || op.route.Consistency == catalog.Strict, priority: op.route.Priority, excluded: map[string]bool{}},
+		req: connRequest{workspace: op.workspace.Name, needsPrimary: isWrite || op.route.Consistency == catalog.Strict, commits: isWrite, priority: op.route.Priority, excluded: map[string]bool{}},
 	}
 	for {
 		at, err := search.next(ctx)
@@ -268,7 +268,7 @@
 	tx := s.tx
 	search := &memberSearch{
 		pool: tx.pool, route: tx.route, started: rec.started, deadline: s.gw.answerDeadline(rec.started.Add(statementTimeout(tx.route))), isRead: tx.readOnly,
-		req: connRequest{workspace: tx.workspace.Name, needsPrimary: !tx.readOnly || tx.route.Consistency == catalog.Strict, priority: tx.route.Priority, excluded: map[string]bool{}},
+		req: connRequest{workspace: tx.workspace.Name, needsPrimary: !tx.readOnly || tx.route.Consistency == catalog.Strict, commits: !tx.readOnly, priority: tx.route.Priority, excluded: map[string]bool{}},
 	}
 	for {
 		at, err := search.next(ctx)
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -77,6 +77,11 @@
 			return statement.Reply{}, err
 		}
 	}
+	if st.Kind == statement.Commit && tx.hasWritten && !tx.pool.awaitCommitsAt(ctx, tx.conn.member.ID, deadline) {
+		member := tx.conn.member.ID
+		s.endAfterError(st)
+		return statement.Reply{}, verdict.New(verdict.NotRun, verdict.TransactionAborted, "member %s is being replaced; the transaction is rolled back", member)
+	}
 	rec.noteAttempt(tx.conn)
 	tx.hasWritten = tx.hasWritten || s.isWrite(st)
 	reply, sent, err := s.sendInTransaction(st, deadline)
@@ -87,7 +92,9 @@
 		return statement.Reply{}, s.handleMemberError(st, reply)
 	}
 	if st.Kind == statement.Commit {
-		s.finishCommit(reply)
+		if err := s.finishCommit(ctx, reply, deadline); err != nil {
+			return statement.Reply{}, err
+		}
 	} else {
 		tx.pool.markIdleInTransaction(tx.conn)
 	}
@@ -103,14 +110,15 @@
 	}
 }
 
-// finishCommit records a successful commit and releases the connection.
-func (s *session) finishCommit(reply statement.Reply) {
+// finishCommit releases the connection after a successful commit and records the commit.
+func (s *session) finishCommit(ctx context.Context, reply statement.Reply, deadline time.Time) error {
 	tx := s.tx
-	if tx.hasWritten {
-		s.recordCommit(tx.pool, reply.Position)
-	}
-	tx.pool.release(tx.conn, true)
 	s.tx, s.state = nil, statement.Idle
+	tx.pool.release(tx.conn, true)
+	if !tx.hasWritten {
+		return nil
+	}
+	return s.settleCommit(ctx, tx.conn, tx.pool, reply.Position, deadline)
 }
 
 // beginAtMember acquires a connection and begins the transaction on it,
@@ -122,7 +130,7 @@
 	useFloor := tx.route.Consistency != catalog.Strict
 	for range readAttempts {
 		begin := statement.Statement{Kind: statement.Begin}
-		req.needsPrimary = true
+		req.needsPrimary, req.commits = true, !tx.readOnly
 		if useFloor {
 			if floor, known := s.readFloor(tx.route, tx.pool); known {
 				begin.AfterPosition, rec.floor = floor, floor
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -33,6 +33,8 @@
 	// unansweredToken its fencing token.
 	unanswered      string
 	unansweredToken revision.Revision
+	// fence is the commit fence of the former primary.
+	fence orderedFence
 }
 
 // dueAfter returns how long after the last attempt the next one to finish a change is due, or
@@ -183,4 +185,5 @@
 		return
 	}
 	c.orders.pending = false
+	c.endFence(true)
 }
