Resume replicas only while the promotion lease is confirmed

What callers see: acknowledged commits may be missing after a hand-over of the promotion lease.

Cause: RESUME has no term. A change resumed the replicas that it had paused without a look at the lease, and repeated a refused RESUME for 4 s, although a newer holder may need the same replicas paused for its order. A former holder also paused replicas under an outdated claim, after the new holder had looked for paused ones.

Change: each RESUME requires a claim that is at most 0.8 s old, or, while the store does not respond, messages of all peers within 1.4 s; an instance that claims the lease has heard nothing of its holder for 2.5 s. Once the lease is lost the replicas are left to the newer holder, which looks for them; if it cannot be confirmed, they stay paused and the attempt is repeated after 5 s. A change renews its claim before it pauses replicas, not only before it orders: a claim older than 0.5 s costs one write (bound 0.3 s) earlier, and none at the order if that follows within 0.5 s.

What remains: a RESUME or PAUSE that is on its way for over 2 s when the lease changes hands, and a PAUSE of a holder that the store does not answer, while it answers the new holder.

The tests of former holders cover the other half: nothing is paused after the loss, and what was paused before is resumed by the new holder.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -87,12 +87,10 @@
 	}
 	c.resumeUnlessOrdered() // those that a former change left paused
 	for ctx.Err() == nil {
-		if !c.controller.mayAct() {
-			// Replicas must not be paused meanwhile.
-			if _, ok := c.controller.awaitDuty(ctx); !ok {
-				c.log().WithError(errNotDutyHolder).Info("change of primary abandoned")
-				return
-			}
+		// Replicas that are paused under an outdated claim would be left paused.
+		if _, ok := c.controller.awaitDuty(ctx); !ok {
+			c.log().WithError(errNotDutyHolder).Info("change of primary abandoned")
+			return
 		}
 		successor, ok := c.prepareSuccessor(ctx)
 		if !ok {
--- a/pkg/gateway/controlcalls.go
+++ b/pkg/gateway/controlcalls.go
@@ -72,21 +72,56 @@
 
 // resumeReplicas lets the paused replicas receive commits again. A replica that refuses is
 // asked again until ctx ends; one that does not answer is left to the next holder of the
-// promotion lease.
+// promotion lease. RESUME has no term, and a newer holder may need the replicas paused: they
+// are left to it, or stay paused while the lease cannot be confirmed.
 func (c *primaryChange) resumeReplicas(ctx context.Context) {
-	refusing := c.pausedReplicas
-	c.pausedReplicas = nil
-	for {
-		refusing = slices.DeleteFunc(refusing, func(m Member) bool {
+	paused := c.takePausedReplicas()
+	for len(paused) > 0 {
+		var refusing []Member
+		for i, m := range paused {
+			if !c.controller.confirmsDuty(ctx) {
+				c.leavePaused(slices.Concat(refusing, paused[i:]))
+				return
+			}
 			_, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Resume})
 			if err != nil {
 				c.log().WithField("member", m.ID).WithError(err).Warn("cannot resume replica")
 			}
-			return !isMemberError(err)
-		})
-		if len(refusing) == 0 || ctx.Err() != nil {
+			if isMemberError(err) {
+				refusing = append(refusing, m)
+			}
+		}
+		if paused = refusing; len(paused) == 0 || ctx.Err() != nil {
 			return
 		}
 		sleep(ctx, resumeRetryInterval)
 	}
 }
+
+// leavePaused leaves the replicas to the newer holder of the promotion lease, or to a later
+// attempt of this instance.
+func (c *primaryChange) leavePaused(replicas []Member) {
+	duty, self, _ := c.controller.gw.peers.dutyHolder()
+	log := c.log().WithFields(logrus.Fields{"replicas": len(replicas), "holder": duty.Holder})
+	if !self {
+		log.Info("replicas are left to the newer holder of the promotion duty")
+		return
+	}
+	c.orders.unresumed = replicas
+	log.Warn("replicas stay paused: the promotion duty is not confirmed")
+}
+
+// takePausedReplicas returns the replicas that this change has paused, and those that earlier
+// ones have left paused and the group still has.
+func (c *primaryChange) takePausedReplicas() []Member {
+	members, _, _, _ := c.pool.snapshot()
+	out := c.pausedReplicas
+	for _, m := range c.orders.unresumed {
+		isKnown := slices.ContainsFunc(members, func(other poolMember) bool { return other.ID == m.ID })
+		if isKnown && !slices.ContainsFunc(out, func(other Member) bool { return other.ID == m.ID }) {
+			out = append(out, m)
+		}
+	}
+	c.orders.unresumed, c.pausedReplicas = nil, nil
+	return out
+}
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -532,7 +532,7 @@
 	if claim := c.claims.Load(); g.checkedClaim != claim {
 		// A former holder may have left replicas paused and promotions pending.
 		g.checkedClaim = claim
-		change.orders.pending, change.orders.member = true, ""
+		change.orders.pending, change.orders.member, change.orders.unresumed = true, "", nil
 	}
 	go func() {
 		change.run(ctx)
--- a/pkg/gateway/duty.go
+++ b/pkg/gateway/duty.go
@@ -14,6 +14,13 @@
 	// no other instance can claim the promotion lease either.
 	dutyRenewAge     = 500 * time.Millisecond
 	dutyRenewTimeout = 300 * time.Millisecond
+	// maxConfirmedDutyAge is the age up to which a claim is certain to be held. Another
+	// instance claims the lease once minDutyTenure has passed, so that a control call that is
+	// sent before this age ends long before.
+	maxConfirmedDutyAge = dutyRenewAge + dutyRenewTimeout
+	// maxHeardAge is the age of the last messages of all peers up to which none of them can
+	// have claimed the lease from this instance unnoticed.
+	maxHeardAge = exchangeInterval + peerTimeout
 )
 
 // mayAct reports whether this instance holds the promotion lease and may act on it. After
@@ -42,6 +49,18 @@
 	return Duty{}, false
 }
 
+// confirmsDuty renews this instance's claim and reports whether it is certain that it holds
+// the promotion lease and may act. It is for acts that carry no fencing token. If the store
+// does not respond, the claim counts while all peers are heard from: one that claims the lease
+// has heard nothing of this instance.
+func (c *controller) confirmsDuty(ctx context.Context) bool {
+	c.renewDuty(ctx)
+	peers := c.gw.peers
+	_, self, _ := peers.dutyHolder()
+	tenure, _ := peers.dutyTenure()
+	return self && c.mayAct() && (tenure < maxConfirmedDutyAge || peers.heardFromAll(maxHeardAge))
+}
+
 // renewDuty renews this instance's claim before it acts, so that no other
 // instance can claim the promotion lease immediately afterwards. A claim that the
 // store has lost is made again.
--- /dev/null
+++ b/pkg/gateway/handover_test.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/promotion"
+	"github.com/mulberrysill/mulberrysill/core/statement"
+)
+
+// handoverStore is a store that answers with err if it is set.
+type handoverStore struct {
+	dutyStore
+	err error
+}
+
+func (s *handoverStore) ReadDuty(ctx context.Context) (Duty, error) {
+	if s.err != nil {
+		return Duty{}, s.err
+	}
+	return s.dutyStore.ReadDuty(ctx)
+}
+
+func (s *handoverStore) ClaimDuty(ctx context.Context, from Duty, holder string, started int64) (Duty, error) {
+	if s.err != nil {
+		return Duty{}, s.err
+	}
+	return s.dutyStore.ClaimDuty(ctx, from, holder, started)
+}
+
+// handover is a group of which the instance a holds the promotion lease until the instance b
+// claims it. It is the members' dialer and the platform, which promotes at once.
+type handover struct {
+	ledMembers
+	store handoverStore
+	a, b  *Gateway
+
+	mu sync.Mutex
+	// onControl, if set, is called for each pause and resume call, and returns the error that
+	// answers it.
+	onControl func(m Member, s statement.Statement) *statement.Error
+	resumes   []string
+	orders    []string
+}
+
+func newHandover() *handover {
+	h := &handover{}
+	h.paused, h.leader, h.silent = map[string]uint64{}, "primary", map[string]bool{}
+	h.a, h.b = newTestInstance("a", &h.store), newTestInstance("b", &h.store)
+	h.a.cfg.Promoter, h.b.cfg.Promoter = h, h
+	h.store.duty = Duty{Holder: "a", Started: h.a.started, Token: 5}
+	h.a.peers.updateDuty(h.store.duty)
+	h.ageClaim()
+	return h
+}
+
+// ageClaim makes the holder's claim so old that it must be renewed.
+func (h *handover) ageClaim() { h.a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure) }
+
+// claimByB makes b the holder without a's knowledge.
+func (h *handover) claimByB() {
+	h.store.duty = Duty{Holder: "b", Started: h.b.started, Token: h.store.duty.Token + 1}
+	h.b.peers.updateDuty(h.store.duty)
+	h.ageClaim()
+}
+
+// change returns a change of the primary on the instance.
+func (h *handover) change(on *Gateway, reason promotion.Reason, orders groupOrders) *primaryChange {
+	p := newPool("g", "z", h, nil, func(poolEvent) {})
+	for _, id := range []string{"primary", "r1", "r2"} {
+		p.members[id] = &poolMember{Member: Member{ID: id, Group: "g"}}
+	}
+	p.primary, p.term = "primary", 1
+	return &primaryChange{controller: on.controller, pool: p, primary: "primary", reason: reason, orders: orders}
+}
+
+func (h *handover) Open(ctx context.Context, m Member, workspace string) (MemberConn, error) {
+	c, err := h.ledMembers.Open(ctx, m, workspace)
+	if err != nil {
+		return nil, err
+	}
+	return &handoverConn{MemberConn: c, h: h, member: m}, nil
+}
+
+func (h *handover) Promote(_ context.Context, _ Duty, _, member string) error {
+	h.ledMembers.mu.Lock()
+	defer h.ledMembers.mu.Unlock()
+	h.orders, h.leader = append(h.orders, member), member
+	clear(h.paused)
+	return nil
+}
+
+// pausedMembers returns the IDs of the paused members.
+func (h *handover) pausedMembers() (out []string) {
+	h.ledMembers.mu.Lock()
+	defer h.ledMembers.mu.Unlock()
+	for id := range h.paused {
+		out = append(out, id)
+	}
+	return out
+}
+
+type handoverConn struct {
+	MemberConn
+	h      *handover
+	member Member
+	err    *statement.Error
+}
+
+func (c *handoverConn) Send(deadline time.Time, statements ...statement.Statement) error {
+	c.h.mu.Lock()
+	for _, s := range statements {
+		if s.Kind == statement.Resume {
+			c.h.resumes = append(c.h.resumes, c.member.ID)
+		}
+		if c.h.onControl != nil && (s.Kind == statement.Pause || s.Kind == statement.Resume) {
+			c.err = c.h.onControl(c.member, s)
+		}
+	}
+	c.h.mu.Unlock()
+	if c.err != nil {
+		return nil // the member answers with an error
+	}
+	return c.MemberConn.Send(deadline, statements...)
+}
+
+func (c *handoverConn) Receive() (statement.Reply, error) {
+	r, err := c.MemberConn.Receive()
+	if err == nil {
+		r.Err = c.err
+	}
+	return r, err
+}
+
+// Guards against a former holder that resumes replicas which the new holder needs paused.
+func TestAFormerHolderResumesNoReplica(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.onControl = func(_ Member, s statement.Statement) *statement.Error {
+		if s.Kind == statement.Pause {
+			h.claimByB()
+		}
+		return nil
+	}
+	former := h.change(h.a, promotion.Leaving, groupOrders{})
+	former.run(context.Background())
+	g.Expect(h.resumes).To(BeEmpty())
+	g.Expect(h.pausedMembers()).To(HaveLen(1))
+	g.Expect(former.orders.unresumed).To(BeEmpty(), "the new holder resumes them")
+
+	h.onControl = nil
+	h.change(h.b, promotion.Unfinished, groupOrders{pending: true}).run(context.Background())
+	g.Expect(h.pausedMembers()).To(BeEmpty())
+}
+
+// Guards against a former holder that repeats a refused RESUME once it has lost the lease.
+func TestAFormerHolderDoesNotRepeatARefusedResume(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.paused["r1"] = 2
+	h.onControl = func(Member, statement.Statement) *statement.Error {
+		h.claimByB()
+		return &statement.Error{}
+	}
+	former := h.change(h.a, promotion.Leaving, groupOrders{})
+	former.pausedReplicas = []Member{{ID: "r1", Group: "g"}}
+	former.resumeUnlessOrdered()
+	g.Expect(h.resumes).To(HaveLen(1))
+}
+
+// Guards against replicas that a former holder pauses after the new holder has looked for
+// paused ones: nobody would resume them.
+func TestAFormerHolderPausesNoReplica(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.claimByB()
+	former := h.change(h.a, promotion.Leaving, groupOrders{})
+	former.run(context.Background())
+	g.Expect(h.pauses).To(BeZero())
+	g.Expect(h.resumes).To(BeEmpty())
+
+	ordered := h.change(h.a, promotion.Unfinished, groupOrders{pending: true, member: "r1"})
+	ordered.finishOrdered(context.Background())
+	g.Expect(h.pauses).To(BeZero())
+}
+
+// Guards against replicas that stay paused because the lease could not be confirmed when they
+// were to be resumed.
+func TestReplicasAreResumedOnceTheLeaseIsConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.paused["r1"] = 2
+	h.a.peers.mu.Lock()
+	h.a.peers.upsert(Instance{ID: "b", Started: h.b.started})
+	h.a.peers.mu.Unlock()
+	h.store.err = context.DeadlineExceeded
+	cutOff := h.change(h.a, promotion.Leaving, groupOrders{})
+	cutOff.pausedReplicas = []Member{{ID: "r1", Group: "g"}}
+	cutOff.resumeUnlessOrdered()
+	g.Expect(h.resumes).To(BeEmpty(), "b may have claimed the lease")
+	_, due := cutOff.orders.dueAfter()
+	g.Expect(due).To(BeTrue())
+
+	h.store.err = nil
+	h.change(h.a, promotion.Unfinished, cutOff.orders).run(context.Background())
+	g.Expect(h.pausedMembers()).To(BeEmpty())
+	g.Expect(slices.Compact(h.resumes)).To(Equal([]string{"r1"}))
+}
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -15,7 +15,8 @@
 
 // unfinishedRetryInterval is the delay between two attempts to finish a change of primary
 // that this instance or a former holder of the promotion lease has left behind, and
-// uncheckedRetryInterval that between two looks at a silent replica.
+// uncheckedRetryInterval that between two looks at a silent replica
+// and between two attempts to resume replicas.
 const unfinishedRetryInterval, uncheckedRetryInterval = time.Second, 5 * time.Second
 
 // groupOrders is what an instance knows of the promotions that have been ordered in a group.
@@ -33,6 +34,9 @@
 	// unansweredToken its fencing token.
 	unanswered      string
 	unansweredToken revision.Revision
+	// unresumed are replicas that are left paused because this instance could not confirm that
+	// it holds the promotion lease.
+	unresumed []Member
 }
 
 // dueAfter returns how long after the last attempt the next one to finish a change is due, or
@@ -41,7 +45,7 @@
 	if o.pending {
 		return unfinishedRetryInterval, true
 	}
-	return uncheckedRetryInterval, o.unchecked
+	return uncheckedRetryInterval, o.unchecked || len(o.unresumed) > 0
 }
 
 // promote orders a promotion. Once it has been answered, the platform refuses all orders with
@@ -118,7 +122,7 @@
 			done, _ := c.awaitPrimary(ctx, successor)
 			return done
 		}
-		if c.stillConfirmed(ctx, successor) {
+		if _, ok := c.controller.awaitDuty(ctx); ok && c.stillConfirmed(ctx, successor) {
 			done, err := c.orderPromotion(ctx, successor)
 			if err != nil {
 				c.log().WithField("successor", successor.ID).WithError(err).Warn("promotion not carried out")
