Void orders of former holders though no replica is paused

What callers see: acknowledged commits may be missing after a hand-over of the promotion lease.

Cause: an order of the former holder without an answer may be carried out seconds later. A new holder that found no replica paused, since the paused ones had restarted, left or been resumed, took this for no order at all. Its own token was unknown to the platform until its first change, so that the old order was carried out whenever it came, on a member that may lack what the other replicas had acknowledged since.

Change: after a claim, the new holder orders the present primary of each group, which changes nothing but makes the platform refuse older tokens. It does so in the attempt after the first look, a second later, which keeps the orders of two holders holderChangeInterval apart as before, and only if all members answer and no other one leads in the same or a newer term. Any answered order of a change does the same. One group in 100 ms is served, so that the calls that the platform accepts are left to changes.

Price: one order, and a status call to each member twice, for each group and claim.

Not covered: commits acknowledged between the restart of a paused replica and this order, if the old one is carried out first.

Evidence: TestOrdersOfAFormerHolderAreVoidedThoughNoReplicaIsPaused failed on: nothing was ordered, and the former holder's order was then accepted.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -82,6 +82,8 @@
 	lastClaimAt  time.Time
 	relistedAt   time.Time
 	claiming     bool
+	// voidedAt is when orders of former holders were last voided in any group.
+	voidedAt time.Time
 	// recordedEra is the last era that this instance has recorded as settled, and
 	// recordingEra is set while it does so.
 	recordedEra      uint64
@@ -386,11 +388,8 @@
 	}
 	_, self, _ := c.gw.peers.dutyHolder()
 	// A primary that is down is replaced first, by a change that also finishes former ones.
-	if self && (current == nil || !current.down) {
-		after, due := g.orders.dueAfter()
-		if g.checkedClaim != c.claims.Load() || (due && now.Sub(g.unfinishedAt) > after) {
-			c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
-		}
+	if self && (current == nil || !current.down) && c.isUnfinishedDue(g, now) {
+		c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
 	}
 	if self && primary == "" && !g.noPrimarySince.IsZero() && now.Sub(g.noPrimarySince) > noPrimaryTimeout {
 		c.startPrimaryChange(ctx, p, "", promotion.NoPrimary)
--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberrysill/mulberrysill/core/promotion"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
@@ -46,6 +47,8 @@
 	onControl func(m Member, s statement.Statement) *statement.Error
 	resumes   []string
 	orders    []string
+	// highest is the highest fencing token that the platform has seen.
+	highest revision.Revision
 }
 
 func newHandover() *handover {
@@ -87,11 +90,18 @@
 	return &handoverConn{MemberConn: c, h: h, member: m}, nil
 }
 
-func (h *handover) Promote(_ context.Context, _ Duty, _, member string) error {
+func (h *handover) Promote(_ context.Context, d Duty, _, member string) error {
 	h.ledMembers.mu.Lock()
 	defer h.ledMembers.mu.Unlock()
-	h.orders, h.leader = append(h.orders, member), member
-	clear(h.paused)
+	h.orders = append(h.orders, member)
+	if d.Token < h.highest {
+		return ErrFenced
+	}
+	h.highest = d.Token
+	if member != h.leader {
+		h.leader = member
+		clear(h.paused)
+	}
 	return nil
 }
 
@@ -211,3 +221,30 @@
 	g.Expect(h.pausedMembers()).To(BeEmpty())
 	g.Expect(slices.Compact(h.resumes)).To(Equal([]string{"r1"}))
 }
+
+// Guards against an order of a former holder that is carried out after the new holder has found
+// no replica paused: replicas that restarted have acknowledged commits since.
+func TestOrdersOfAFormerHolderAreVoidedThoughNoReplicaIsPaused(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	former := h.store.duty
+	h.claimByB()
+	orders := groupOrders{pending: true}
+	attempt := func() {
+		c := h.change(h.b, promotion.Unfinished, orders)
+		c.run(context.Background())
+		orders = c.orders
+		_, due := orders.dueAfter()
+		g.Expect(due).To(Equal(len(h.orders) == 0))
+	}
+	attempt()
+	g.Expect(h.orders).To(BeEmpty(), "too soon after an order of the former holder")
+	h.silent["r2"] = true
+	attempt()
+	g.Expect(h.orders).To(BeEmpty(), "the former holder may have ordered the silent replica")
+	delete(h.silent, "r2")
+	attempt()
+	g.Expect(h.orders).To(Equal([]string{"primary"}))
+	g.Expect(h.Promote(context.Background(), former, "g", "r1")).To(MatchError(ErrFenced))
+	g.Expect(h.leader).To(Equal("primary"))
+}
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
@@ -19,6 +20,10 @@
 // and between two attempts to resume replicas.
 const unfinishedRetryInterval, uncheckedRetryInterval = time.Second, 5 * time.Second
 
+// voidInterval is the time between two groups in which a new holder voids the orders of former
+// ones. The platform accepts a limited number of orders per second.
+const voidInterval = 100 * time.Millisecond
+
 // groupOrders is what an instance knows of the promotions that have been ordered in a group.
 // The platform may carry out an order without an answer seconds later and after newer ones.
 type groupOrders struct {
@@ -30,6 +35,9 @@
 	// unchecked is set while a former holder of the promotion lease may have left a replica
 	// paused that has not answered yet.
 	unchecked bool
+	// unvoided is set while an order of a former holder of the promotion lease may be carried
+	// out although no replica is paused for it.
+	unvoided bool
 	// unanswered is the member of the newest order of this instance without an answer, and
 	// unansweredToken its fencing token.
 	unanswered      string
@@ -42,12 +50,36 @@
 // dueAfter returns how long after the last attempt the next one to finish a change is due, or
 // false if there is nothing to finish.
 func (o *groupOrders) dueAfter() (time.Duration, bool) {
-	if o.pending {
+	if o.pending || o.onlyUnvoided() {
 		return unfinishedRetryInterval, true
 	}
 	return uncheckedRetryInterval, o.unchecked || len(o.unresumed) > 0
 }
 
+// onlyUnvoided reports whether all that is left to do is to void orders of former holders.
+func (o *groupOrders) onlyUnvoided() bool {
+	return o.unvoided && !o.pending && !o.unchecked && len(o.unresumed) == 0
+}
+
+// isUnfinishedDue reports whether an attempt to finish a former change of the group is due.
+// Orders of former holders are voided in one group after another.
+func (c *controller) isUnfinishedDue(g *groupState, now time.Time) bool {
+	if g.checkedClaim != c.claims.Load() {
+		return true
+	}
+	after, due := g.orders.dueAfter()
+	if !due || g.changeRunning || now.Sub(g.unfinishedAt) <= after {
+		return false
+	}
+	if g.orders.onlyUnvoided() {
+		if now.Sub(c.voidedAt) < voidInterval {
+			return false
+		}
+		c.voidedAt = now
+	}
+	return true
+}
+
 // promote orders a promotion. Once it has been answered, the platform refuses all orders with
 // older tokens.
 func (c *primaryChange) promote(ctx context.Context, duty Duty, member string) error {
@@ -56,7 +88,7 @@
 	defer cancel()
 	err := c.controller.gw.cfg.Promoter.Promote(ctx, duty, c.pool.name, member)
 	if err == nil {
-		c.orders.unanswered = ""
+		c.orders.unanswered, c.orders.unvoided = "", false
 	} else if !errors.Is(err, ErrFenced) && !errors.Is(err, ErrNotAccepted) {
 		c.orders.unanswered, c.orders.unansweredToken = member, duty.Token
 	}
@@ -83,7 +115,7 @@
 // present primary: orders for both could be carried out one after the other, and the last one
 // may lack commits acknowledged in between.
 func (c *primaryChange) finishOrdered(ctx context.Context) bool {
-	if !c.orders.pending && !c.orders.unchecked {
+	if !c.orders.pending && !c.orders.unchecked && !c.orders.unvoided {
 		return false
 	}
 	members, primary, _, _ := c.pool.snapshot()
@@ -106,7 +138,15 @@
 		}
 	}
 	if c.orders.member == "" && paused == 0 {
+		claimed := c.orders.pending
 		c.orders.pending, c.orders.unchecked = false, silent > 0
+		// The order that voids others waits for the next attempt after a claim, which keeps the
+		// orders of two holders apart.
+		c.orders.unvoided = c.orders.unvoided || claimed
+		if c.orders.unvoided && !claimed && silent == 0 && primary != "" && c.reason == promotion.Unfinished {
+			c.keepPrimary(ctx, primary)
+			c.orders.pending = false
+		}
 		return false
 	}
 	c.orders.pending, c.orders.unchecked = true, false
@@ -157,15 +197,24 @@
 }
 
 // stillLeads reports whether the primary leads and the member that was to be promoted does
-// not. A member that is listed and silent may lead.
+// not, or no other member if that one is not known. The member that was to be promoted may
+// lead if it is listed and silent.
 func (c *primaryChange) stillLeads(ctx context.Context, primary string) bool {
 	ordered := c.orders.member
 	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
-		return statement.Statement{Kind: statement.Status}, m.ID == primary || m.ID == ordered
+		return statement.Statement{Kind: statement.Status}, m.ID == primary || m.ID == ordered || ordered == ""
 	})
-	if s, answered := statuses[primary]; !answered || s.Role != group.Primary {
+	leader, answered := statuses[primary]
+	if !answered || leader.Role != group.Primary {
 		return false
 	}
+	if ordered == "" {
+		for id, s := range statuses {
+			if id != primary && s.Role == group.Primary && s.Term >= leader.Term {
+				return false
+			}
+		}
+	}
 	if s, answered := statuses[ordered]; answered || ordered == "" {
 		return ordered == primary || s.Role != group.Primary
 	}
