Look for unfinished changes after each gain of the promotion lease

What callers see: replicas stay paused, and an order of a former holder can still be carried out, after a hand-over in which the store's answer to the claim was lost.

Cause: the look at what a former holder has left followed only a claim that the store had answered. An instance that learned of its own claim by a read of the store or from a peer held the lease without that look. The same holds for a claim made again after the store was restored, although another holder may have acted in between.

Change: gains are counted where claims are recorded (updateDuty): a claim of this process counts if the one known before is another's, or of a former era. A renewal does not count. After a restoration this costs the holder one look for each group, and one order for each that has nothing to finish.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,9 +89,6 @@
 	recordingEra     bool
 	eraRecordTriedAt time.Time
 	startedAt        time.Time
-	// claims is the number of times that this instance has claimed the promotion lease from
-	// another holder.
-	claims atomic.Int64
 }
 
 // groupState is the controller's state of one group.
@@ -103,9 +99,9 @@
 	reportedAt      time.Time
 	plannedChangeAt time.Time
 	orders          groupOrders
-	// checkedClaim is the number of the claim of the promotion lease since which the orders
-	// of former holders have been looked for, and unfinishedAt when a change last ended.
-	checkedClaim int64
+	// checkedGain is the number of gainedDuty since which the orders of former holders have
+	// been looked for, and unfinishedAt when a change last ended.
+	checkedGain  int64
 	unfinishedAt time.Time
 	// noPrimarySince is when the responding members were first found to
 	// include no primary.
@@ -528,9 +524,9 @@
 	}
 	g.changeRunning = true
 	change := &primaryChange{controller: c, pool: p, primary: primary, reason: reason, orders: g.orders}
-	if claim := c.claims.Load(); g.checkedClaim != claim {
+	if gain := c.gw.peers.gainedDuty(); g.checkedGain != gain {
 		// A former holder may have left replicas paused and promotions pending.
-		g.checkedClaim = claim
+		g.checkedGain = gain
 		change.orders.pending, change.orders.member, change.orders.unresumed = true, "", nil
 	}
 	go func() {
@@ -612,7 +608,6 @@
 	}
 	switch {
 	case err == nil:
-		c.claims.Add(1)
 		peers.updateDuty(duty)
 		c.gw.log.WithFields(logrus.Fields{"event": "duty", "token": duty.Token}).Info("promotion duty claimed")
 	case errors.Is(err, ErrConflict):
--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -248,3 +248,61 @@
 	g.Expect(h.Promote(context.Background(), former, "g", "r1")).To(MatchError(ErrFenced))
 	g.Expect(h.leader).To(Equal("primary"))
 }
+
+// lostClaimStore carries out the next claim of the promotion lease without an answer.
+type lostClaimStore struct {
+	dutyStore
+	loses bool
+}
+
+func (s *lostClaimStore) ClaimDuty(ctx context.Context, from Duty, holder string, started int64) (Duty, error) {
+	d, err := s.dutyStore.ClaimDuty(ctx, from, holder, started)
+	if s.loses {
+		s.loses = false
+		return Duty{}, context.DeadlineExceeded
+	}
+	return d, err
+}
+
+// looksForUnfinished reports whether the instance holds the promotion lease and is about to look
+// for changes that former holders have left in a group.
+func looksForUnfinished(a *Gateway) bool {
+	_, self, _ := a.peers.dutyHolder()
+	return self && a.controller.isUnfinishedDue(a.controller.groupState("g"), time.Now())
+}
+
+// Guards against a new holder that does not look for what the former one has left, because the
+// answer to its claim was lost.
+func TestAClaimWithoutAnAnswerIsFollowedByALook(t *testing.T) {
+	g := NewWithT(t)
+	store := &lostClaimStore{loses: true}
+	store.duty = Duty{Holder: "b", Started: 1, Token: 5}
+	a := newTestInstance("a", store)
+	a.peers.updateDuty(store.duty)
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	a.controller.claimDuty(context.Background())
+	g.Expect(store.claims).To(Equal(1))
+	a.controller.claimDuty(context.Background()) // reads its own claim
+	g.Expect(store.claims).To(Equal(1))
+	g.Expect(looksForUnfinished(a)).To(BeTrue())
+}
+
+// Guards against the same after the store was restored: it may have lost the claim of a holder
+// that has acted in between.
+func TestAClaimInANewEraIsFollowedByALook(t *testing.T) {
+	g := NewWithT(t)
+	store := &dutyStore{}
+	a := newTestInstance("a", store)
+	a.controller.claimDuty(context.Background())
+	a.controller.groupState("g").checkedGain = a.peers.gainedDuty()
+	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
+	a.controller.renewDuty(context.Background())
+	g.Expect(store.claims).To(Equal(2))
+	g.Expect(looksForUnfinished(a)).To(BeFalse(), "a renewal")
+
+	store.restore(store.duty)
+	a.observeEra(store.duty.Token.Era())
+	a.controller.renewDuty(context.Background())
+	g.Expect(store.claims).To(Equal(3))
+	g.Expect(looksForUnfinished(a)).To(BeTrue())
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -118,7 +118,9 @@
 	duty       Duty       // guarded by mu; the newest known holder
 	// dutyKnownSince is when that holder became known; guarded by mu.
 	dutyKnownSince time.Time
-	hasLeft        bool // guarded by mu
+	// dutyGains is how often the promotion lease has come to this process; guarded by mu.
+	dutyGains int64
+	hasLeft   bool // guarded by mu
 	// lostReportAt is when a process that ended without a last report was last heard, and
 	// lostReportOf its instance; both are guarded by mu.
 	lostReportAt time.Time
@@ -256,9 +258,28 @@
 	}
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	if d.Token > ps.duty.Token {
-		ps.duty, ps.dutyKnownSince = d, time.Now()
+	if d.Token <= ps.duty.Token {
+		return
+	}
+	// Between claims of two eras another instance may have held the lease.
+	isRenewal := ps.isOwnDuty(ps.duty) && ps.duty.Token.Era() == d.Token.Era()
+	if ps.isOwnDuty(d) && !isRenewal {
+		ps.dutyGains++
 	}
+	ps.duty, ps.dutyKnownSince = d, time.Now()
+}
+
+// isOwnDuty reports whether this process made the claim.
+func (ps *peers) isOwnDuty(d Duty) bool {
+	return d.Holder == ps.gw.cfg.ID && d.Started == ps.gw.started
+}
+
+// gainedDuty returns how often the promotion lease has come to this process from another
+// holder, whether the store has answered the claim or not.
+func (ps *peers) gainedDuty() int64 {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return ps.dutyGains
 }
 
 // dutyTenure returns how long the current claim has been known; false if the
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -64,7 +64,7 @@
 // isUnfinishedDue reports whether an attempt to finish a former change of the group is due.
 // Orders of former holders are voided in one group after another.
 func (c *controller) isUnfinishedDue(g *groupState, now time.Time) bool {
-	if g.checkedClaim != c.claims.Load() {
+	if g.checkedGain != c.gw.peers.gainedDuty() {
 		return true
 	}
 	after, due := g.orders.dueAfter()
