Forget replicas left paused once a promotion has ended their pauses

What callers see: reads at a former primary that lack acknowledged commits are possible, in the time after a change of primary.

Cause: replicas that a change had left paused, since it could not confirm the promotion lease, were resumed by a later attempt also if the group had a new primary by then. A replica that does not know of the promotion, and is not paused, confirms that the former primary leads (CheckLeadership).

Change: a promotion that has been seen ends the list. It has ended the pauses of the replicas that know of it; another one stays paused until the lease changes hands, as before.

Evidence: TestReplicasLeftPausedBeforeAPromotionAreNotResumedAfterIt failed on (r2 resumed) and passes now. go test ./pkg/gateway -run TestReplicasLeft

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -361,7 +361,9 @@
 			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
 			go c.demoteFormer(status.Term)
 			// The promotion has ended all pauses of replicas that knew of it.
+			// One that does not, and is resumed, would confirm that the former primary leads.
 			c.orders.pending, c.pausedReplicas = !c.voidOtherOrders(ctx, successor.ID), c.pausedAgain
+			c.orders.unresumed = nil
 			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
 			return true, nil
 		}
--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -306,3 +306,16 @@
 	g.Expect(store.claims).To(Equal(3))
 	g.Expect(looksForUnfinished(a)).To(BeTrue())
 }
+
+// Guards against a replica that an earlier change has left paused and that is resumed after a
+// promotion of which it does not know: it would confirm that the former primary leads.
+func TestReplicasLeftPausedBeforeAPromotionAreNotResumedAfterIt(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.leader = "r1"
+	c := h.change(h.a, promotion.Leaving, groupOrders{unresumed: []Member{{ID: "r2", Group: "g"}}})
+	done, err := c.awaitPrimary(context.Background(), Member{ID: "r1", Group: "g"})
+	g.Expect(done, err).To(BeTrue())
+	c.resumeUnlessOrdered()
+	g.Expect(h.resumes).To(BeEmpty())
+}
