Resume replicas later that cannot be resumed or missed a promotion

What callers see: commits stop when one more replica fails, long after a change of primary: another replica is still paused.

Cause: a replica that did not answer when it was to be resumed, refused for 4 s, or did not learn of the promotion that should have ended its pause, was left paused until the promotion lease changed hands.

Change: it is kept with the group and asked again every 5 s while the group has it, with one call of at most controlTimeout, so that another change of primary is not held up for longer. After a promotion a replica is resumed only once its status shows the new term: one that does not know of the promotion and is not paused would confirm that the former primary leads (CheckLeadership). This costs a status call to each paused replica after each promotion, when the new primary is in use already.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -268,7 +268,11 @@
 	if c.orders.pending {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), becomePrimaryTimeout)
+	timeout := becomePrimaryTimeout
+	if len(c.pausedReplicas) == 0 {
+		timeout = controlTimeout // a later attempt must not hold up another change
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	c.resumeReplicas(ctx)
 }
@@ -360,10 +364,8 @@
 			c.pool.mu.Unlock()
 			c.announcePrimary(&pb.Primary{Group: c.pool.name, Member: successor.ID, Term: status.Term})
 			go c.demoteFormer(status.Term)
-			// The promotion has ended all pauses of replicas that knew of it.
-			// One that does not, and is resumed, would confirm that the former primary leads.
-			c.orders.pending, c.pausedReplicas = !c.voidOtherOrders(ctx, successor.ID), c.pausedAgain
-			c.orders.unresumed = nil
+			c.orders.pending, c.orders.resumeTerm = !c.voidOtherOrders(ctx, successor.ID), status.Term
+			c.pausedReplicas = append(c.pausedReplicas, c.pausedAgain...)
 			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
 			return true, nil
 		}
--- a/pkg/gateway/controlcalls.go
+++ b/pkg/gateway/controlcalls.go
@@ -70,32 +70,60 @@
 	return status, err
 }
 
+// errOlderTerm means that a replica does not know yet which member leads.
+var errOlderTerm = errors.New("the replica does not know of the promotion")
+
 // resumeReplicas lets the paused replicas receive commits again. A replica that refuses is
-// asked again until ctx ends; one that does not answer is left to the next holder of the
-// promotion lease. RESUME has no term, and a newer holder may need the replicas paused: they
+// asked again until ctx ends. Later attempts follow for those that do not answer or still
+// refuse. RESUME has no term, and a newer holder may need the replicas paused: they
 // are left to it, or stay paused while the lease cannot be confirmed.
 func (c *primaryChange) resumeReplicas(ctx context.Context) {
 	paused := c.takePausedReplicas()
+	var later []Member
 	for len(paused) > 0 {
 		var refusing []Member
 		for i, m := range paused {
 			if !c.controller.confirmsDuty(ctx) {
-				c.leavePaused(slices.Concat(refusing, paused[i:]))
+				c.leavePaused(slices.Concat(later, refusing, paused[i:]))
 				return
 			}
-			_, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Resume})
-			if err != nil {
-				c.log().WithField("member", m.ID).WithError(err).Warn("cannot resume replica")
-			}
-			if isMemberError(err) {
+			err := c.resume(ctx, m)
+			switch {
+			case err == nil:
+				continue
+			case isMemberError(err):
 				refusing = append(refusing, m)
+			default:
+				later = append(later, m)
 			}
+			c.log().WithField("member", m.ID).WithError(err).Info("cannot resume replica yet")
 		}
 		if paused = refusing; len(paused) == 0 || ctx.Err() != nil {
-			return
+			break
 		}
 		sleep(ctx, resumeRetryInterval)
 	}
+	if c.orders.unresumed = append(later, paused...); len(c.orders.unresumed) == 0 {
+		c.orders.resumeTerm = 0
+	}
+}
+
+// resume lets a replica receive commits again. After a promotion, which ends the pauses of the
+// replicas that learn of it, it asks for the replica's term first.
+func (c *primaryChange) resume(ctx context.Context, m Member) error {
+	if c.orders.resumeTerm > 0 {
+		status, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Status})
+		switch {
+		case err != nil:
+			return err
+		case status.Term < c.orders.resumeTerm:
+			return errOlderTerm
+		case status.PausedTerm == 0:
+			return nil
+		}
+	}
+	_, err := c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Resume})
+	return err
 }
 
 // leavePaused leaves the replicas to the newer holder of the promotion lease, or to a later
@@ -113,12 +141,13 @@
 
 // takePausedReplicas returns the replicas that this change has paused, and those that earlier
 // ones have left paused and the group still has.
-func (c *primaryChange) takePausedReplicas() []Member {
+func (c *primaryChange) takePausedReplicas() (out []Member) {
 	members, _, _, _ := c.pool.snapshot()
-	out := c.pausedReplicas
-	for _, m := range c.orders.unresumed {
-		isKnown := slices.ContainsFunc(members, func(other poolMember) bool { return other.ID == m.ID })
-		if isKnown && !slices.ContainsFunc(out, func(other Member) bool { return other.ID == m.ID }) {
+	isKnown := func(m Member) bool {
+		return slices.ContainsFunc(members, func(other poolMember) bool { return other.ID == m.ID })
+	}
+	for _, m := range slices.Concat(c.pausedReplicas, slices.DeleteFunc(c.orders.unresumed, func(m Member) bool { return !isKnown(m) })) {
+		if !slices.ContainsFunc(out, func(other Member) bool { return other.ID == m.ID }) {
 			out = append(out, m)
 		}
 	}
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -42,9 +42,12 @@
 	// unansweredToken its fencing token.
 	unanswered      string
 	unansweredToken revision.Revision
-	// unresumed are replicas that are left paused because this instance could not confirm that
-	// it holds the promotion lease.
+	// unresumed are replicas that are left paused because they did not answer or refused, or
+	// this instance could not confirm that it holds the promotion lease.
 	unresumed []Member
+	// resumeTerm is the term of a promotion that replicas must know before they are resumed.
+	// Another one would confirm that the former primary leads.
+	resumeTerm uint64
 }
 
 // dueAfter returns how long after the last attempt the next one to finish a change is due, or
@@ -156,7 +159,7 @@
 		switch {
 		case statuses[successor.ID].Role != group.Primary:
 		case successor.ID == primary:
-			c.orders.pending = !c.voidOtherOrders(ctx, successor.ID)
+			c.orders.pending, c.orders.resumeTerm = !c.voidOtherOrders(ctx, successor.ID), statuses[successor.ID].Term
 			return true
 		default:
 			done, _ := c.awaitPrimary(ctx, successor)
