Void orders of former holders only if there were any holders

What callers see: each start of a deployment opens six more connections to the members of each group, and sends an order, to no use.

Cause: the first holder that the promotion lease ever has voided the orders of former ones, with a look at all members and another one just before the order.

Change: orders are voided only if the lease had a holder before, with one look at the members, just before the order. The price of a hand-over is one order and three status calls for each group, besides the look that every claim has made before.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -524,10 +524,11 @@
 	}
 	g.changeRunning = true
 	change := &primaryChange{controller: c, pool: p, primary: primary, reason: reason, orders: g.orders}
-	if gain := c.gw.peers.gainedDuty(); g.checkedGain != gain {
+	if gain, hasFormerHolder := c.gw.peers.gainedDuty(); g.checkedGain != gain {
 		// A former holder may have left replicas paused and promotions pending.
 		g.checkedGain = gain
 		change.orders.pending, change.orders.member, change.orders.unresumed = true, "", nil
+		change.orders.unvoided = hasFormerHolder
 	}
 	go func() {
 		change.run(ctx)
--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -60,6 +60,7 @@
 	h.a.cfg.Promoter, h.b.cfg.Promoter = h, h
 	h.store.duty = Duty{Holder: "a", Started: h.a.started, Token: 5}
 	h.a.peers.updateDuty(h.store.duty)
+	h.b.peers.updateDuty(h.store.duty)
 	h.ageClaim()
 	return h
 }
@@ -239,12 +240,14 @@
 	h := newHandover()
 	former := h.store.duty
 	h.claimByB()
-	orders := groupOrders{pending: true}
+	p, b := h.change(h.b, promotion.Unfinished, groupOrders{}).pool, h.b.controller
 	attempt := func() {
-		c := h.change(h.b, promotion.Unfinished, orders)
-		c.run(context.Background())
-		orders = c.orders
-		_, due := orders.dueAfter()
+		b.startPrimaryChange(context.Background(), p, "primary", promotion.Unfinished)
+		g.Eventually(func() bool {
+			b.runCalls()
+			return b.groupState("g").changeRunning
+		}).Should(BeFalse())
+		_, due := b.groupState("g").orders.dueAfter()
 		g.Expect(due).To(Equal(len(h.orders) == 0))
 	}
 	attempt()
@@ -254,6 +257,8 @@
 	g.Expect(h.orders).To(BeEmpty(), "the former holder may have ordered the silent replica")
 	delete(h.silent, "r2")
 	attempt()
+	g.Expect(h.orders).To(BeEmpty())
+	attempt()
 	g.Expect(h.orders).To(Equal([]string{"primary"}))
 	g.Expect(h.Promote(context.Background(), former, "g", "r1")).To(MatchError(ErrFenced))
 	g.Expect(h.leader).To(Equal("primary"))
@@ -304,7 +309,7 @@
 	store := &dutyStore{}
 	a := newTestInstance("a", store)
 	a.controller.claimDuty(context.Background())
-	a.controller.groupState("g").checkedGain = a.peers.gainedDuty()
+	a.controller.groupState("g").checkedGain, _ = a.peers.gainedDuty()
 	a.peers.dutyKnownSince = time.Now().Add(-minDutyTenure)
 	a.controller.renewDuty(context.Background())
 	g.Expect(store.claims).To(Equal(2))
@@ -361,3 +366,14 @@
 	_, due = c.orders.dueAfter()
 	g.Expect(due).To(BeFalse())
 }
+
+// Guards against orders and calls to members that are of no use: without a former holder nobody
+// has ordered anything.
+func TestTheFirstHolderVoidsNoOrders(t *testing.T) {
+	g := NewWithT(t)
+	a := newTestInstance("a", &dutyStore{})
+	a.controller.claimDuty(context.Background())
+	gains, hasFormerHolder := a.peers.gainedDuty()
+	g.Expect(gains).To(BeEquivalentTo(1))
+	g.Expect(hasFormerHolder).To(BeFalse())
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -118,9 +118,11 @@
 	duty       Duty       // guarded by mu; the newest known holder
 	// dutyKnownSince is when that holder became known; guarded by mu.
 	dutyKnownSince time.Time
-	// dutyGains is how often the promotion lease has come to this process; guarded by mu.
-	dutyGains int64
-	hasLeft   bool // guarded by mu
+	// dutyGains is how often the promotion lease has come to this process, and hasFormerHolder
+	// is set if it had a holder before; both are guarded by mu.
+	dutyGains       int64
+	hasFormerHolder bool
+	hasLeft         bool // guarded by mu
 	// lostReportAt is when a process that ended without a last report was last heard, and
 	// lostReportOf its instance; both are guarded by mu.
 	lostReportAt time.Time
@@ -265,6 +267,7 @@
 	isRenewal := ps.isOwnDuty(ps.duty) && ps.duty.Token.Era() == d.Token.Era()
 	if ps.isOwnDuty(d) && !isRenewal {
 		ps.dutyGains++
+		ps.hasFormerHolder = ps.duty.Holder != ""
 	}
 	ps.duty, ps.dutyKnownSince = d, time.Now()
 }
@@ -274,12 +277,12 @@
 	return d.Holder == ps.gw.cfg.ID && d.Started == ps.gw.started
 }
 
-// gainedDuty returns how often the promotion lease has come to this process from another
-// holder, whether the store has answered the claim or not.
-func (ps *peers) gainedDuty() int64 {
+// gainedDuty returns how often the promotion lease has come to this process, whether the store
+// has answered the claim or not, and whether it had a holder before.
+func (ps *peers) gainedDuty() (gains int64, hasFormerHolder bool) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	return ps.dutyGains
+	return ps.dutyGains, ps.hasFormerHolder
 }
 
 // dutyTenure returns how long the current claim has been known; false if the
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -67,7 +67,7 @@
 // isUnfinishedDue reports whether an attempt to finish a former change of the group is due.
 // Orders of former holders are voided in one group after another.
 func (c *controller) isUnfinishedDue(g *groupState, now time.Time) bool {
-	if g.checkedGain != c.gw.peers.gainedDuty() {
+	if gain, _ := c.gw.peers.gainedDuty(); g.checkedGain != gain {
 		return true
 	}
 	after, due := g.orders.dueAfter()
@@ -118,7 +118,11 @@
 // present primary: orders for both could be carried out one after the other, and the last one
 // may lack commits acknowledged in between.
 func (c *primaryChange) finishOrdered(ctx context.Context) bool {
-	if !c.orders.pending && !c.orders.unchecked && !c.orders.unvoided {
+	if c.orders.onlyUnvoided() && c.reason == promotion.Unfinished {
+		c.voidFormerOrders(ctx)
+		return false
+	}
+	if !c.orders.pending && !c.orders.unchecked {
 		return false
 	}
 	members, primary, _, _ := c.pool.snapshot()
@@ -141,15 +145,7 @@
 		}
 	}
 	if c.orders.member == "" && paused == 0 {
-		claimed := c.orders.pending
 		c.orders.pending, c.orders.unchecked = false, silent > 0
-		// The order that voids others waits for the next attempt after a claim, which keeps the
-		// orders of two holders apart.
-		c.orders.unvoided = c.orders.unvoided || claimed
-		if c.orders.unvoided && !claimed && silent == 0 && primary != "" && c.reason == promotion.Unfinished {
-			c.keepPrimary(ctx, primary)
-			c.orders.pending = false
-		}
 		return false
 	}
 	c.orders.pending, c.orders.unchecked = true, false
@@ -179,6 +175,29 @@
 	return false
 }
 
+// voidFormerOrders makes the platform refuse the orders of former holders by ordering the
+// present primary, unless another member may lead or a replica is paused. It follows the first
+// look after a claim by unfinishedRetryInterval, which keeps the orders of two holders apart.
+func (c *primaryChange) voidFormerOrders(ctx context.Context) {
+	members, primary, _, _ := c.pool.snapshot()
+	duty, ok := c.awaitTokenFor(ctx, primary)
+	if !ok || primary == "" {
+		return
+	}
+	statuses := c.callMembers(ctx, nil)
+	for i := range members {
+		s, answered := statuses[members[i].ID]
+		if !answered || s.PausedTerm > 0 || (s.Role == group.Primary) != (members[i].ID == primary) {
+			c.orders.unchecked = true
+			return
+		}
+	}
+	if err := c.promote(ctx, duty, primary); err != nil {
+		c.log().WithError(err).Info("cannot void the orders of former holders")
+	}
+	c.orders.pending, c.orders.member = false, ""
+}
+
 // voidOtherOrders makes the platform refuse an order without an answer for another member
 // than the leader, which would otherwise lose the lead once it is carried out. It reports
 // whether there is none any more.
@@ -200,24 +219,15 @@
 }
 
 // stillLeads reports whether the primary leads and the member that was to be promoted does
-// not, or no other member if that one is not known. The member that was to be promoted may
-// lead if it is listed and silent.
+// not. A member that is listed and silent may lead.
 func (c *primaryChange) stillLeads(ctx context.Context, primary string) bool {
 	ordered := c.orders.member
 	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
-		return statement.Statement{Kind: statement.Status}, m.ID == primary || m.ID == ordered || ordered == ""
+		return statement.Statement{Kind: statement.Status}, m.ID == primary || m.ID == ordered
 	})
-	leader, answered := statuses[primary]
-	if !answered || leader.Role != group.Primary {
+	if s, answered := statuses[primary]; !answered || s.Role != group.Primary {
 		return false
 	}
-	if ordered == "" {
-		for id, s := range statuses {
-			if id != primary && s.Role == group.Primary && s.Term >= leader.Term {
-				return false
-			}
-		}
-	}
 	if s, answered := statuses[ordered]; answered || ordered == "" {
 		return ordered == primary || s.Role != group.Primary
 	}
