Do not repeat orders under a refused fencing token

What callers see: nothing; the platform's rule on refused tokens is broken.

Cause: a holder that is cut off from the store and its peers, but not from the platform, finishes a former change every second, and each attempt sent the order under the token that the platform had refused.

Change: after maxRefusals (3) refusals of a token in a group, an order waits for a newer one. If the claim cannot be renewed the attempt ends.

--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -377,3 +377,28 @@
 	g.Expect(gains).To(BeEquivalentTo(1))
 	g.Expect(hasFormerHolder).To(BeFalse())
 }
+
+// Guards against a holder that is cut off from the store and its peers and goes on to order
+// with a token that the platform has refused.
+func TestARefusedTokenIsNotUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.highest, h.store.err = 9, context.DeadlineExceeded
+	h.paused["r2"] = 2
+	orders := groupOrders{pending: true, member: "r1"}
+	for range 6 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		c := h.change(h.a, promotion.Unfinished, orders)
+		c.run(ctx)
+		cancel()
+		orders = c.orders
+	}
+	g.Expect(len(h.orders)).To(BeNumerically("<=", maxRefusals))
+
+	h.store.err = nil
+	h.store.duty.Token = 9
+	h.a.peers.updateDuty(h.store.duty)
+	h.ageClaim()
+	h.change(h.a, promotion.Unfinished, orders).run(context.Background())
+	g.Expect(h.leader).To(Equal("r1"), "a newer token is used")
+}
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -24,6 +24,10 @@
 // ones. The platform accepts a limited number of orders per second.
 const voidInterval = 100 * time.Millisecond
 
+// maxRefusals is how often the platform may refuse a fencing token before a newer one is
+// needed. A refusal may also mean that the member is not running.
+const maxRefusals = 3
+
 // groupOrders is what an instance knows of the promotions that have been ordered in a group.
 // The platform may carry out an order without an answer seconds later and after newer ones.
 type groupOrders struct {
@@ -42,6 +46,10 @@
 	// unansweredToken its fencing token.
 	unanswered      string
 	unansweredToken revision.Revision
+	// refusedToken is the last fencing token that the platform has refused, and refusals is how
+	// often it has.
+	refusedToken revision.Revision
+	refusals     int
 	// unresumed are replicas that are left paused because they did not answer or refused, or
 	// this instance could not confirm that it holds the promotion lease.
 	unresumed []Member
@@ -90,21 +98,45 @@
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := c.controller.gw.cfg.Promoter.Promote(ctx, duty, c.pool.name, member)
-	if err == nil {
+	switch {
+	case err == nil:
 		c.orders.unanswered, c.orders.unvoided = "", false
-	} else if !errors.Is(err, ErrFenced) && !errors.Is(err, ErrNotAccepted) {
+	case errors.Is(err, ErrFenced):
+		c.orders.noteRefusal(duty.Token)
+	case !errors.Is(err, ErrNotAccepted):
 		c.orders.unanswered, c.orders.unansweredToken = member, duty.Token
 	}
 	return err
 }
 
+func (o *groupOrders) noteRefusal(token revision.Revision) {
+	if token != o.refusedToken {
+		o.refusedToken, o.refusals = token, 0
+	}
+	o.refusals++
+}
+
+// isRefused reports whether the platform has refused the token so often that a newer one is
+// needed.
+func (o *groupOrders) isRefused(token revision.Revision) bool {
+	return o.refusals >= maxRefusals && token <= o.refusedToken
+}
+
 // awaitTokenFor returns a claim under which the member's promotion may be ordered: its token
 // is newer than that of an order without an answer for another member, which the platform
-// refuses once it has carried out this one. It returns false if another instance holds the
-// promotion lease, or if ctx ends.
+// refuses once it has carried out this one, and not one that the platform refuses. It returns
+// false if another instance holds the promotion lease, if a refused claim cannot be renewed,
+// or if ctx ends.
 func (c *primaryChange) awaitTokenFor(ctx context.Context, member string) (Duty, bool) {
 	for ctx.Err() == nil {
 		duty, ok := c.controller.awaitDuty(ctx)
+		if ok && c.orders.isRefused(duty.Token) {
+			if tenure, _ := c.controller.gw.peers.dutyTenure(); tenure > maxConfirmedDutyAge {
+				return Duty{}, false
+			}
+			sleep(ctx, promoteRetryInterval)
+			continue
+		}
 		if !ok || c.orders.unanswered == "" || c.orders.unanswered == member || duty.Token > c.orders.unansweredToken {
 			return duty, ok
 		}
