--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -91,12 +91,10 @@
 	}
 	c.resumeUnlessOrdered() // those that a former change left paused
 	for ctx.Err() == nil {
-		if !c.controller.mayAct() {
-			// Replicas must not be paused meanwhile.
-			if _, ok := c.controller.awaitDuty(ctx); !ok {
-				c.log().WithError(errNotDutyHolder).Info("change of primary abandoned")
-				return
-			}
+		// Replicas that are paused under an outdated claim would be left paused.
+		if _, ok := c.controller.awaitDuty(ctx); !ok {
+			c.log().WithError(errNotDutyHolder).Info("change of primary abandoned")
+			return
 		}
 		successor, ok := c.prepareSuccessor(ctx)
 		if !ok {
@@ -345,7 +343,11 @@
 		return
 	}
 	c.endFence(false)
-	ctx, cancel := context.WithTimeout(context.Background(), becomePrimaryTimeout)
+	timeout := becomePrimaryTimeout
+	if len(c.pausedReplicas) == 0 {
+		timeout = controlTimeout // a later attempt must not hold up another change
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	c.resumeReplicas(ctx)
 }
@@ -435,7 +437,9 @@
 		if err == nil && status.Role == group.Primary {
 			c.pool.mu.Lock()
 			c.pool.setPrimary(successor.ID, status.Term)
-			c.pool.promotedAt = c.confirmedLog
+			if c.confirmedLog.Compare(c.pool.promotedAt) > 0 {
+				c.pool.promotedAt = c.confirmedLog
+			}
 			c.pool.mu.Unlock()
 			c.announcePrimary(&pb.Primary{
 				Group: c.pool.name, Member: successor.ID, Term: status.Term,
@@ -443,8 +447,8 @@
 			})
 			c.orders.fence = orderedFence{} // the new primary ends the fences of the instances
 			go c.demoteFormer(status.Term)
-			// The promotion has ended all pauses of replicas that knew of it.
-			c.orders.pending, c.pausedReplicas = !c.voidOtherOrders(ctx, successor.ID), c.pausedAgain
+			c.orders.pending, c.orders.resumeTerm = !c.voidOtherOrders(ctx, successor.ID), status.Term
+			c.pausedReplicas = append(c.pausedReplicas, c.pausedAgain...)
 			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
 			return true, nil
 		}
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,15 +81,14 @@
 	lastClaimAt  time.Time
 	relistedAt   time.Time
 	claiming     bool
+	// voidedAt is when orders of former holders were last voided in any group.
+	voidedAt time.Time
 	// recordedEra is the last era that this instance has recorded as settled, and
 	// recordingEra is set while it does so.
 	recordedEra      uint64
 	recordingEra     bool
 	eraRecordTriedAt time.Time
 	startedAt        time.Time
-	// claims is the number of times that this instance has claimed the promotion lease from
-	// another holder.
-	claims atomic.Int64
 }
 
 // groupState is the controller's state of one group.
@@ -101,9 +99,9 @@
 	reportedAt      time.Time
 	plannedChangeAt time.Time
 	orders          groupOrders
-	// checkedClaim is the number of the claim of the promotion lease since which the orders
-	// of former holders have been looked for, and unfinishedAt when a change last ended.
-	checkedClaim int64
+	// checkedGain is the number of gainedDuty since which the orders of former holders have
+	// been looked for, and unfinishedAt when a change last ended.
+	checkedGain  int64
 	unfinishedAt time.Time
 	// noPrimarySince is when the responding members were first found to
 	// include no primary.
@@ -386,11 +384,8 @@
 	}
 	_, self, _ := c.gw.peers.dutyHolder()
 	// A primary that is down is replaced first, by a change that also finishes former ones.
-	if self && (current == nil || !current.down) {
-		after, due := g.orders.dueAfter()
-		if g.checkedClaim != c.claims.Load() || (due && now.Sub(g.unfinishedAt) > after) {
-			c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
-		}
+	if self && (current == nil || !current.down) && c.isUnfinishedDue(g, now) {
+		c.startPrimaryChange(ctx, p, primary, promotion.Unfinished)
 	}
 	if self && primary == "" && !g.noPrimarySince.IsZero() && now.Sub(g.noPrimarySince) > noPrimaryTimeout {
 		c.startPrimaryChange(ctx, p, "", promotion.NoPrimary)
@@ -530,10 +525,11 @@
 	}
 	g.changeRunning = true
 	change := &primaryChange{controller: c, pool: p, primary: primary, reason: reason, orders: g.orders}
-	if claim := c.claims.Load(); g.checkedClaim != claim {
+	if gain, hasFormerHolder := c.gw.peers.gainedDuty(); g.checkedGain != gain {
 		// A former holder may have left replicas paused and promotions pending.
-		g.checkedClaim = claim
-		change.orders.pending, change.orders.member = true, ""
+		g.checkedGain = gain
+		change.orders.pending, change.orders.member, change.orders.unresumed = true, "", nil
+		change.orders.unvoided = hasFormerHolder
 	}
 	go func() {
 		change.run(ctx)
@@ -614,7 +610,6 @@
 	}
 	switch {
 	case err == nil:
-		c.claims.Add(1)
 		peers.updateDuty(duty)
 		c.gw.log.WithFields(logrus.Fields{"event": "duty", "token": duty.Token}).Info("promotion duty claimed")
 	case errors.Is(err, ErrConflict):
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -9,15 +9,25 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
 // unfinishedRetryInterval is the delay between two attempts to finish a change of primary
 // that this instance or a former holder of the promotion lease has left behind, and
-// uncheckedRetryInterval that between two looks at a silent replica.
+// uncheckedRetryInterval that between two looks at a silent replica
+// and between two attempts to resume replicas.
 const unfinishedRetryInterval, uncheckedRetryInterval = time.Second, 5 * time.Second
 
+// voidInterval is the time between two groups in which a new holder voids the orders of former
+// ones. The platform accepts a limited number of orders per second.
+const voidInterval = 100 * time.Millisecond
+
+// maxRefusals is how often the platform may refuse a fencing token before a newer one is
+// needed. A refusal may also mean that the member is not running.
+const maxRefusals = 3
+
 // groupOrders is what an instance knows of the promotions that have been ordered in a group.
 // The platform may carry out an order without an answer seconds later and after newer ones.
 type groupOrders struct {
@@ -29,21 +39,58 @@
 	// unchecked is set while a former holder of the promotion lease may have left a replica
 	// paused that has not answered yet.
 	unchecked bool
+	// unvoided is set while an order of a former holder of the promotion lease may be carried
+	// out although no replica is paused for it.
+	unvoided bool
 	// unanswered is the member of the newest order of this instance without an answer, and
 	// unansweredToken its fencing token.
 	unanswered      string
 	unansweredToken revision.Revision
 	// fence is the commit fence of the former primary.
 	fence orderedFence
+	// refusedToken is the last fencing token that the platform has refused, and refusals is how
+	// often it has.
+	refusedToken revision.Revision
+	refusals     int
+	// unresumed are replicas that are left paused because they did not answer or refused, or
+	// this instance could not confirm that it holds the promotion lease.
+	unresumed []Member
+	// resumeTerm is the term of a promotion that replicas must know before they are resumed.
+	// Another one would confirm that the former primary leads.
+	resumeTerm uint64
 }
 
 // dueAfter returns how long after the last attempt the next one to finish a change is due, or
 // false if there is nothing to finish.
 func (o *groupOrders) dueAfter() (time.Duration, bool) {
-	if o.pending {
+	if o.pending || o.onlyUnvoided() {
 		return unfinishedRetryInterval, true
 	}
-	return uncheckedRetryInterval, o.unchecked
+	return uncheckedRetryInterval, o.unchecked || len(o.unresumed) > 0
+}
+
+// onlyUnvoided reports whether all that is left to do is to void orders of former holders.
+func (o *groupOrders) onlyUnvoided() bool {
+	return o.unvoided && !o.pending && !o.unchecked && len(o.unresumed) == 0
+}
+
+// isUnfinishedDue reports whether an attempt to finish a former change of the group is due.
+// Orders of former holders are voided in one group after another.
+func (c *controller) isUnfinishedDue(g *groupState, now time.Time) bool {
+	if gain, _ := c.gw.peers.gainedDuty(); g.checkedGain != gain {
+		return true
+	}
+	after, due := g.orders.dueAfter()
+	if !due || g.changeRunning || now.Sub(g.unfinishedAt) <= after {
+		return false
+	}
+	if g.orders.onlyUnvoided() {
+		if now.Sub(c.voidedAt) < voidInterval {
+			return false
+		}
+		c.voidedAt = now
+	}
+	return true
 }
 
 // promote orders a promotion. Once it has been answered, the platform refuses all orders with
@@ -53,21 +100,45 @@
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := c.controller.gw.cfg.Promoter.Promote(ctx, duty, c.pool.name, member)
-	if err == nil {
-		c.orders.unanswered = ""
-	} else if !errors.Is(err, ErrFenced) && !errors.Is(err, ErrNotAccepted) {
+	switch {
+	case err == nil:
+		c.orders.unanswered, c.orders.unvoided = "", false
+	case errors.Is(err, ErrFenced):
+		c.orders.noteRefusal(duty.Token)
+	case !errors.Is(err, ErrNotAccepted):
 		c.orders.unanswered, c.orders.unansweredToken = member, duty.Token
 	}
 	return err
 }
 
+func (o *groupOrders) noteRefusal(token revision.Revision) {
+	if token != o.refusedToken {
+		o.refusedToken, o.refusals = token, 0
+	}
+	o.refusals++
+}
+
+// isRefused reports whether the platform has refused the token so often that a newer one is
+// needed.
+func (o *groupOrders) isRefused(token revision.Revision) bool {
+	return o.refusals >= maxRefusals && token <= o.refusedToken
+}
+
 // awaitTokenFor returns a claim under which the member's promotion may be ordered: its token
 // is newer than that of an order without an answer for another member, which the platform
-// refuses once it has carried out this one. It returns false if another instance holds the
-// promotion lease, or if ctx ends.
+// refuses once it has carried out this one, and not one that the platform refuses. It returns
+// false if another instance holds the promotion lease, if a refused claim cannot be renewed,
+// or if ctx ends.
 func (c *primaryChange) awaitTokenFor(ctx context.Context, member string) (Duty, bool) {
 	for ctx.Err() == nil {
 		duty, ok := c.controller.awaitDuty(ctx)
+		if ok && c.orders.isRefused(duty.Token) {
+			if tenure, _ := c.controller.gw.peers.dutyTenure(); tenure > maxConfirmedDutyAge {
+				return Duty{}, false
+			}
+			sleep(ctx, promoteRetryInterval)
+			continue
+		}
 		if !ok || c.orders.unanswered == "" || c.orders.unanswered == member || duty.Token > c.orders.unansweredToken {
 			return duty, ok
 		}
@@ -81,6 +152,10 @@
 // present primary: orders for both could be carried out one after the other, and the last one
 // may lack commits acknowledged in between.
 func (c *primaryChange) finishOrdered(ctx context.Context) bool {
+	if c.orders.onlyUnvoided() && c.reason == promotion.Unfinished {
+		c.voidFormerOrders(ctx)
+		return false
+	}
 	if !c.orders.pending && !c.orders.unchecked {
 		return false
 	}
@@ -114,13 +189,13 @@
 		switch {
 		case statuses[successor.ID].Role != group.Primary:
 		case successor.ID == primary:
-			c.orders.pending = !c.voidOtherOrders(ctx, successor.ID)
+			c.orders.pending, c.orders.resumeTerm = !c.voidOtherOrders(ctx, successor.ID), statuses[successor.ID].Term
 			return true
 		default:
 			done, _ := c.awaitPrimary(ctx, successor)
 			return done
 		}
-		if c.stillConfirmed(ctx, successor) {
+		if _, ok := c.controller.awaitDuty(ctx); ok && c.stillConfirmed(ctx, successor) {
 			done, err := c.orderPromotion(ctx, successor)
 			if err != nil {
 				c.log().WithField("successor", successor.ID).WithError(err).Warn("promotion not carried out")
@@ -134,6 +209,29 @@
 	return false
 }
 
+// voidFormerOrders makes the platform refuse the orders of former holders by ordering the
+// present primary, unless another member may lead or a replica is paused. It follows the first
+// look after a claim by unfinishedRetryInterval, which keeps the orders of two holders apart.
+func (c *primaryChange) voidFormerOrders(ctx context.Context) {
+	members, primary, _, _ := c.pool.snapshot()
+	duty, ok := c.awaitTokenFor(ctx, primary)
+	if !ok || primary == "" {
+		return
+	}
+	statuses := c.callMembers(ctx, nil)
+	for i := range members {
+		s, answered := statuses[members[i].ID]
+		if !answered || s.PausedTerm > 0 || (s.Role == group.Primary) != (members[i].ID == primary) {
+			c.orders.unchecked = true
+			return
+		}
+	}
+	if err := c.promote(ctx, duty, primary); err != nil {
+		c.log().WithError(err).Info("cannot void the orders of former holders")
+	}
+	c.orders.pending, c.orders.member = false, ""
+}
+
 // voidOtherOrders makes the platform refuse an order without an answer for another member
 // than the leader, which would otherwise lose the lead once it is carried out. It reports
 // whether there is none any more.
