Keep replicas paused until orders accepted before have taken effect

What callers see: acknowledged commits may be missing after a hand-over of the promotion lease.

Cause: a promotion takes effect some hundred milliseconds after its order was accepted. An order of the present primary, which makes the platform refuse older orders, does not undo one that was accepted just before. Replicas were resumed as soon as it was answered, and what they acknowledged until the other member led was lost.

Change: after the order of the present primary, the holder waits for promotionEffectTimeout (1 s) and looks once more whether the primary leads, before replicas are resumed. A change that finds such an older order pending takes one second longer; commits go on, acknowledged by the replica that is not paused.

--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
@@ -47,6 +49,10 @@
 	onControl func(m Member, s statement.Statement) *statement.Error
 	resumes   []string
 	orders    []string
+	// onOrder, if set, is called for each order that the platform accepts.
+	onOrder func(member string)
+	// isReplaced is set once the primary has lost the lead to a member that does not answer.
+	isReplaced atomic.Bool
 	// terms are the terms that members know, if not those of ledMembers.
 	terms map[string]uint64
 	// highest is the highest fencing token that the platform has seen.
@@ -101,6 +107,9 @@
 		return ErrFenced
 	}
 	h.highest = d.Token
+	if h.onOrder != nil {
+		h.onOrder(member)
+	}
 	if member != h.leader {
 		h.leader = member
 		clear(h.paused)
@@ -110,6 +119,9 @@
 
 func (h *handover) ParseStatus(r statement.Reply) (statement.MemberStatus, error) {
 	s, err := h.ledMembers.ParseStatus(r)
+	if h.isReplaced.Load() {
+		s.Role = group.Replica
+	}
 	if term, ok := h.terms[r.Signature]; ok {
 		s.Term = term
 	}
@@ -402,3 +414,25 @@
 	h.change(h.a, promotion.Unfinished, orders).run(context.Background())
 	g.Expect(h.leader).To(Equal("r1"), "a newer token is used")
 }
+
+// Guards against replicas that are resumed while an order of a former holder, accepted just
+// before the one for the present primary, has yet to take effect: what they acknowledge in
+// between is lost.
+func TestReplicasStayPausedUntilAnAcceptedOrderHasTakenEffect(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.paused["r2"] = 2
+	h.silent["r1"] = true // ordered by the former holder, and behind
+	c := h.change(h.a, promotion.Unfinished, groupOrders{pending: true})
+	effect := make(chan []string, 1)
+	h.onOrder = func(member string) {
+		time.AfterFunc(promotionEffectTimeout/2, func() {
+			effect <- h.pausedMembers()
+			h.isReplaced.Store(true)
+		})
+	}
+	c.run(context.Background())
+	g.Expect(h.orders).To(Equal([]string{"primary"}))
+	g.Eventually(effect).Should(Receive(Equal([]string{"r2"})))
+	g.Expect(c.orders.pending).To(BeTrue(), "another member leads")
+}
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -24,6 +24,10 @@
 // ones. The platform accepts a limited number of orders per second.
 const voidInterval = 100 * time.Millisecond
 
+// promotionEffectTimeout is how long a promotion takes at most from the platform's acceptance
+// of the order until the member leads.
+const promotionEffectTimeout = time.Second
+
 // maxRefusals is how often the platform may refuse a fencing token before a newer one is
 // needed. A refusal may also mean that the member is not running.
 const maxRefusals = 3
@@ -269,16 +273,23 @@
 
 // keepPrimary makes the platform refuse older orders by promoting the present primary, which
 // changes nothing. The order may be carried out until then, so that it looks again just before.
+// One that was accepted before may take effect after that, and needs the replicas paused.
 func (c *primaryChange) keepPrimary(ctx context.Context, primary string) {
 	duty, ok := c.awaitTokenFor(ctx, primary)
 	if !ok || !c.stillLeads(ctx, primary) {
 		return
 	}
 	ordered := c.orders.member
-	if err := c.promote(ctx, duty, primary); err != nil {
-		c.orders.member = ordered
+	err := c.promote(ctx, duty, primary)
+	c.orders.member = ordered
+	if err != nil {
 		c.log().WithError(err).Warn("cannot raise the fencing token; replicas stay paused")
 		return
 	}
-	c.orders.pending = false
+	sleep(ctx, promotionEffectTimeout)
+	if !c.stillLeads(ctx, primary) {
+		c.log().Warn("the primary may have lost the lead to an order accepted before; replicas stay paused")
+		return
+	}
+	c.orders.pending, c.orders.member = false, primary
 }
