Count members that are listed one by one after the first start

What callers would see: a primary that is cut off from its replicas is not replaced in the first 30 s after the first start of a deployment.

Cause: replicas count as evidence once they have been members for 30 s, or if they were in the first list of their group after the first start of the whole system. Members register one after another, so that most are not in the first list.

--- a/pkg/gateway/memberage.go
+++ b/pkg/gateway/memberage.go
@@ -10,6 +10,15 @@
 // is close to true time on all machines, but may jump by seconds.
 const maxClockError = 10 * time.Second
 
+// firstStartPeriod is the time after the first start of the whole system in which its members
+// are listed. Clients have committed next to nothing before it ends.
+const firstStartPeriod = 5 * time.Second
+
+// isFirstStart reports whether the whole system has just started for the first time.
+func (ps *peers) isFirstStart() bool {
+	return ps.gw.cfg.FirstStart && bootTime()-ps.startedAt < firstStartPeriod
+}
+
 // memberFor returns how long the member's process is known to have run. An instance that has
 // just started relies on the start time in the member's entry.
 func (m *poolMember) memberFor(now time.Time) time.Duration {
