Replace a primary that is cut off once the instances are fenced

What callers would see: commits wait until a primary that is cut off from its replicas can reach them again, if a replica is silent or has joined within the last 30 s.

Cause: a primary that answered had to be matched in full by its successor, since an instance could have acknowledged any of its commits meanwhile. While it is cut off its log grows, and no replica ever matches it.

Change: with all instances fenced, the commits that were acknowledged are known for good, so that those which no instance has seen acknowledged need not be in the successor's log. Knowledge.Fenced says so and is a value of its own: what instances that are not fenced know does not replace the log of a primary that answers, as before. Only a primary that has answered, or that too many instances do not reach, is replaced in this way: one that refuses the holder's calls may be busy.

Evidence: the two new entries of "while the primary responds"; the model draws this knowledge and loses no commit in 20,000 sequences.

--- a/core/promotion/model_promoter_test.go
+++ b/core/promotion/model_promoter_test.go
@@ -161,6 +161,7 @@
 			known.Complete = false
 		}
 	}
+	known.Fenced = known.Complete && !withoutFence
 	return known
 }
 
--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -138,6 +138,9 @@
 	// Complete is set if no commit can have been acknowledged beyond Acknowledged: every
 	// instance that may have seen one has answered, and none of them reaches the primary.
 	Complete bool
+	// Fenced is set if no commit beyond Acknowledged is acknowledged any more unless the
+	// successor has it: every instance that may acknowledge one has a commit fence.
+	Fenced bool
 }
 
 // minReplicaLogs is the number of settled replicas that must have answered, besides none
@@ -167,12 +170,14 @@
 	return settled < minReplicaLogs
 }
 
-// NeedsCompleteKnowledge reports whether Choose can return a member only if
-// Knowledge.Complete is set.
+// NeedsCompleteKnowledge reports whether Choose can return a member only if Knowledge.Fenced
+// is set or, unless the primary answered, Knowledge.Complete is.
 func NeedsCompleteKnowledge(members []Member, primary string) bool {
-	_, primaryAnswered := primaryLog(members, primary)
-	_, hasCandidate := MostAdvanced(members, primary)
-	return hasCandidate && !primaryAnswered && lacksReplicaLogs(members, primary)
+	if _, hasCandidate := MostAdvanced(members, primary); !hasCandidate || !lacksReplicaLogs(members, primary) {
+		return false
+	}
+	log, primaryAnswered := primaryLog(members, primary)
+	return !primaryAnswered || len(mostAdvanced(members, primary, log)) == 0
 }
 
 // Choose returns the ID of the member to promote, which is never primary. Before the
@@ -186,8 +191,10 @@
 // proofs:
 //
 //   - the log of the primary, if the primary answered: the promoted member must have all of
-//     it. A primary that runs is not replaced by a member that is behind.
-//   - complete knowledge of the instances, if the primary did not answer.
+//     it. A primary that runs is not replaced by a member that is behind, unless the instances
+//     are fenced.
+//   - complete knowledge of the instances, if the primary did not answer or they are fenced.
+//     Commits of the primary that none of them has seen acknowledged may be missing.
 //
 // A silent member that the platform still lists, or listed until less than
 // UnlistedTimeout ago, is waited for in any case. Choose returns false until one of the
@@ -212,6 +219,7 @@
 	if lacksReplicaLogs(members, primary) {
 		log, answered := primaryLog(members, primary)
 		switch {
+		case known.Fenced:
 		case answered:
 			required = later(required, log)
 		case !known.Complete:
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -21,8 +21,12 @@
 	return promotion.Member{ID: id, UnlistedFor: missing}
 }
 
-// complete and incomplete return what the instances know if the highest commit that they
+// fenced, complete and incomplete return what the instances know if the highest commit that they
 // have seen acknowledged has the index.
+func fenced(index uint64) promotion.Knowledge {
+	return promotion.Knowledge{Acknowledged: positionAt(index), Fenced: true}
+}
+
 func complete(index uint64) promotion.Knowledge {
 	return promotion.Knowledge{Acknowledged: positionAt(index), Complete: true}
 }
@@ -78,6 +82,9 @@
 			complete(10), "", answered("a", 12), unanswered("b", promotion.UnlistedTimeout)),
 		Entry("replaces it by a replica that has its whole log", incomplete(10), "a", answered("a", 20), unanswered("b", promotion.UnlistedTimeout)),
 		Entry("does not replace it by the only replica that is left while that is behind", complete(10), "", answered("a", 12)),
+		Entry("replaces it by a replica that is behind once the instances are fenced", fenced(12), "a", answered("a", 12), unanswered("b", promotion.UnlistedTimeout)),
+		Entry("does not replace it by a replica that lacks an acknowledged commit, also if the instances are fenced",
+			fenced(13), "", answered("a", 12), unanswered("b", promotion.UnlistedTimeout)),
 		Entry("replaces it by the more advanced of two replicas, because its other commits are not acknowledged", incomplete(10), "b", answered("a", 12), answered("b", 14)),
 	)
 })
--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -277,13 +277,13 @@
 // were acknowledged before. Members that this instance does not know may have acknowledged
 // some of them. If an instance cannot be fenced, the logs of the members must show them all.
 func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) bool {
-	complete := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
+	isFenced := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
 		if !ok {
 			break
 		}
-		known := promotion.Knowledge{Acknowledged: c.acknowledged, Complete: complete}
+		known := promotion.Knowledge{Acknowledged: c.acknowledged, Fenced: isFenced}
 		if promotion.MayPromote(successor.ID, candidates, c.primary, known) {
 			c.confirmedAt, c.confirmedLog = time.Now(), statuses[successor.ID].Received
 			c.logProof(successor, candidates, known)
@@ -326,7 +326,7 @@
 	}
 	slices.Sort(logs)
 	fields := logrus.Fields{
-		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "complete": known.Complete, "members": logs,
+		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "fenced": known.Fenced, "members": logs,
 		"fencedInstances": c.orders.fence.instances, "pauseTerm": c.term, "ms": time.Since(c.started).Milliseconds(),
 	}
 	if list := c.controller.gw.memberList.Load(); list != nil {
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -92,8 +93,7 @@
 }
 
 // knowledge returns what is known about acknowledged commits. The instances are asked only
-// if the logs of the members do not show them. They are kept from committing if some of them
-// reach the primary, too many do not, and a member has all commits that they know.
+// if the logs of the members do not show them, and fenced if some of them reach the primary.
 func (c *primaryChange) knowledge(ctx context.Context, candidates []promotion.Member) promotion.Knowledge {
 	_, _, _, acknowledged := c.pool.snapshot()
 	c.noteAcknowledged(acknowledged)
@@ -104,11 +104,12 @@
 	unreported := c.controller.gw.peers.unreported(time.Now())
 	known := promotion.Knowledge{Acknowledged: c.acknowledged, Complete: answers.allAnswered && unreported == ""}
 	if answers.votes.Reachable > 0 {
+		known.Complete, known.Fenced = false, known.Complete
 		_, provable := promotion.Choose(candidates, c.primary, known)
-		known.Complete = provable && c.reason == promotion.Unreachable && c.fenceCommits(ctx, "")
+		known.Fenced = provable && c.mayDiscardCommits(candidates) && c.fenceCommits(ctx, "")
 		known.Acknowledged = c.acknowledged
 	}
-	if !known.Complete {
+	if !known.Complete && !known.Fenced {
 		c.log().WithFields(logrus.Fields{
 			"reach": answers.votes.Reachable, "fail": answers.votes.Unreachable, "allAnswered": answers.allAnswered, "unreported": unreported,
 		}).Info("a replica is silent, and the instances may not know all commits that it has")
@@ -116,6 +117,20 @@
 	return known
 }
 
+// mayDiscardCommits reports whether the primary may be replaced without commits of it that no
+// instance has seen acknowledged: too many instances do not reach it, or it has answered and
+// its commits reach no replica. Otherwise a primary that does not answer may be too busy to.
+func (c *primaryChange) mayDiscardCommits(candidates []promotion.Member) bool {
+	switch c.reason {
+	case promotion.Unreachable:
+		return true
+	case promotion.CutOff:
+		return slices.ContainsFunc(candidates, func(m promotion.Member) bool { return m.ID == c.primary && m.Answered })
+	default:
+		return false
+	}
+}
+
 // reporters returns the clients of the peers that may be running, by ID. Unlike clients, it
 // includes those that are leaving: they still run statements.
 func (ps *peers) reporters() map[string]pb.Gate { return ps.selectClients((*peer).mayReport) }
