Look for another successor if an ordered one has died

What callers see: commits of a group wait for up to 12 s in a change of primary.

Cause: an order without an answer is repeated only while its member provably has every commit. If the member died, the change waited for that proof until changeTimeout, also when the platform no longer listed the member and another one had the proof.

Change: after maxUnprovenPeriod (2 s) without the proof the change begins anew. The order for another member carries a newer token, as in a later change before.

Risk, as before but earlier: the orders for both members may have no answer. If the first member runs after all, unlisted and silent, it may lead for a moment before the second one does.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -41,6 +41,9 @@
 	// commit is repeated before the promotion is ordered. Replicas that restart have
 	// forgotten that they are paused.
 	maxSuccessorProofAge = 500 * time.Millisecond
+	// maxUnprovenPeriod is how long an ordered successor may lack that proof before the change
+	// looks for another one.
+	maxUnprovenPeriod = 2 * time.Second
 )
 
 // primaryChange replaces the primary of a group. It runs in its own goroutine
@@ -315,6 +318,7 @@
 // order without a response may be carried out at any time, and then waits until
 // the successor is primary.
 func (c *primaryChange) orderPromotion(ctx context.Context, successor Member) (bool, error) {
+	provenAt := time.Now()
 	for ctx.Err() == nil {
 		duty, ok := c.awaitTokenFor(ctx, successor.ID)
 		if !ok {
@@ -329,10 +333,14 @@
 			}
 			if !c.stillConfirmed(ctx, successor) {
 				c.log().WithField("successor", successor.ID).Info("the successor may lack commits by now; the order is not repeated")
+				if time.Since(provenAt) > maxUnprovenPeriod {
+					return false, errUnprovenSuccessor
+				}
 				sleep(ctx, promoteRetryInterval)
 				continue
 			}
 		}
+		provenAt = time.Now()
 		err := c.promote(ctx, duty, successor.ID)
 		switch {
 		case err == nil:
--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -49,6 +49,10 @@
 	onControl func(m Member, s statement.Statement) *statement.Error
 	resumes   []string
 	orders    []string
+	// refuse, if set, is asked for the error that an order gets instead of an answer, and dead
+	// is the member that has stopped, if any.
+	refuse func(member string) error
+	dead   atomic.Value
 	// onOrder, if set, is called for each order that the platform accepts.
 	onOrder func(member string)
 	// isReplaced is set once the primary has lost the lead to a member that does not answer.
@@ -92,6 +96,9 @@
 }
 
 func (h *handover) Open(ctx context.Context, m Member, workspace string) (MemberConn, error) {
+	if h.dead.Load() == m.ID {
+		return nil, context.DeadlineExceeded
+	}
 	c, err := h.ledMembers.Open(ctx, m, workspace)
 	if err != nil {
 		return nil, err
@@ -103,6 +110,11 @@
 	h.ledMembers.mu.Lock()
 	defer h.ledMembers.mu.Unlock()
 	h.orders = append(h.orders, member)
+	if h.refuse != nil {
+		if err := h.refuse(member); err != nil {
+			return err
+		}
+	}
 	if d.Token < h.highest {
 		return ErrFenced
 	}
@@ -436,3 +448,30 @@
 	g.Eventually(effect).Should(Receive(Equal([]string{"r2"})))
 	g.Expect(c.orders.pending).To(BeTrue(), "another member leads")
 }
+
+// Guards against a change that waits to its end for a successor that died after an order
+// without an answer, although the platform lists it no more and another member provably has
+// every commit.
+func TestASuccessorThatDiesIsReplacedByAnother(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	c := h.change(h.a, promotion.Leaving, groupOrders{})
+	var first string
+	h.refuse = func(member string) error {
+		if first == "" {
+			first = member
+			h.dead.Store(member)
+			c.pool.mu.Lock()
+			c.pool.members[member].unlistedSince = time.Now().Add(-promotion.UnlistedTimeout)
+			c.pool.mu.Unlock()
+		}
+		if member == first {
+			return context.DeadlineExceeded
+		}
+		return nil
+	}
+	started := time.Now()
+	c.run(context.Background())
+	g.Expect(time.Since(started)).To(BeNumerically("<", changeTimeout/2))
+	g.Expect(h.leader).NotTo(Or(Equal("primary"), Equal(first)))
+}
