Count only replicas that have kept their logs in the proof of a successor

A departed replica is remembered for 10 s, and not at all if it restarts under its ID.

A replica now counts once it has been a member for 30 s (promotion.SettledAfter) without a restart. With fewer than two of them Choose needs the primary's log or complete knowledge of the instances, as while a replica is silent. The members of the first start of the whole system count at once.

Price: for up to 40 s after a replica joined or restarted, a change away from a primary that does not answer waits until all instances answer. An instance that is silent or ended without a last report delays it as it does while a replica is silent.

Failed before, tried with the rule that counts any two: "waits for the instances while one of two replicas has just joined".

--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -204,7 +204,7 @@
 	}
 	members := []promotion.Member{primary}
 	for _, r := range m.replicas {
-		member := promotion.Member{ID: r.id}
+		member := promotion.Member{ID: r.id, MemberFor: promotion.SettledAfter}
 		switch {
 		case r.down && r.unlisted, r.dark:
 			member.UnlistedFor = promotion.UnlistedTimeout
--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -35,6 +35,9 @@
 	// UnlistedFor is how long the member has been absent from the platform's list of
 	// members; 0 while it is listed.
 	UnlistedFor time.Duration
+	// MemberFor is how long the member is known to have been one without losing its log. It
+	// begins anew when the member restarts.
+	MemberFor time.Duration
 	// Answered reports whether the member responded to the caller's last status or
 	// pause call. Received is the log position up to which the member has received
 	// entries, as reported in that response.
@@ -137,25 +140,31 @@
 	Complete bool
 }
 
-// minReplicaLogs is the number of replicas that must have answered, besides none being
-// silent, for their logs alone to show all acknowledged commits. With fewer, a replica that
-// has left the group may have taken the only other copy of a commit with it.
+// minReplicaLogs is the number of settled replicas that must have answered, besides none
+// being silent, for their logs alone to show all acknowledged commits. With fewer, a replica
+// that has left the group may have taken the only other copy of a commit with it.
 const minReplicaLogs = 2
 
+// SettledAfter is how long a replica must have been a member, without losing its log, to
+// count for minReplicaLogs. A replica that joins or restarts replaces another one, whose log
+// it does not show. The time is longer than callers remember departed members and silent
+// instances.
+const SettledAfter = 30 * time.Second
+
 // lacksReplicaLogs reports whether the replicas that answered may lack acknowledged commits,
-// because another replica is silent or because too few are left.
+// because another replica is silent or because too few have been members for long enough.
 func lacksReplicaLogs(members []Member, primary string) bool {
-	answered := 0
+	settled := 0
 	for i := range members {
 		switch m := &members[i]; {
 		case m.ID == primary:
 		case !m.Answered:
 			return true
-		default:
-			answered++
+		case m.MemberFor >= SettledAfter:
+			settled++
 		}
 	}
-	return answered < minReplicaLogs
+	return settled < minReplicaLogs
 }
 
 // NeedsCompleteKnowledge reports whether Choose can return a member only if
@@ -172,8 +181,8 @@
 //
 // A commit is acknowledged once the primary and one replica have it. If all replicas have
 // answered, the highest position among them therefore covers all acknowledged commits. If
-// one is silent, or fewer than minReplicaLogs are left, a replica whose log is not at hand
-// may be the only one that has received some of them. Choose then requires one of two
+// one is silent, or fewer than minReplicaLogs are settled, a replica whose log is not at
+// hand may be the only one that has received some of them. Choose then requires one of two
 // proofs:
 //
 //   - the log of the primary, if the primary answered: the promoted member must have all of
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -14,7 +14,7 @@
 func positionAt(index uint64) group.Position { return group.Position{Term: 3, Index: index} }
 
 func answered(id string, index uint64) promotion.Member {
-	return promotion.Member{ID: id, Answered: true, Received: positionAt(index)}
+	return promotion.Member{ID: id, Answered: true, Received: positionAt(index), MemberFor: promotion.SettledAfter}
 }
 
 func unanswered(id string, missing time.Duration) promotion.Member {
@@ -39,6 +39,7 @@
 var _ = Describe("Choose", func() {
 	leaving := func(m *promotion.Member) { m.Leaving = true }
 	zoneOut := func(m *promotion.Member) { m.OutOfService = true }
+	joined := func(m *promotion.Member) { m.MemberFor = promotion.SettledAfter - 1 }
 	DescribeTable("among the replicas of primary p",
 		func(known promotion.Knowledge, want string, members ...promotion.Member) {
 			id, ok := promotion.Choose(append([]promotion.Member{unanswered("p", 0)}, members...), "p", known)
@@ -58,6 +59,11 @@
 		Entry("chooses none while all replicas have answered but lack an acknowledged commit, as after one lost its log", incomplete(13), "", answered("a", 12), answered("b", 12)),
 		Entry("waits for the instances if only one replica is left, because another may have left with commits", incomplete(10), "", answered("a", 12)),
 		Entry("chooses the only replica that is left if no instance has seen a commit beyond it", complete(12), "a", answered("a", 12)),
+		Entry("waits for the instances while one of two replicas has just joined, because it may replace one that left with commits",
+			incomplete(10), "", answered("a", 12), modified(answered("b", 12), joined)),
+		Entry("chooses a replica that has just joined and alone has every commit", complete(12), "b", answered("a", 10), modified(answered("b", 12), joined)),
+		Entry("needs no instances if two replicas besides the one that has just joined answer", incomplete(10), "a",
+			answered("a", 12), answered("b", 11), modified(answered("c", 11), joined)),
 		Entry("prefers a replica that is not leaving, at equal positions", incomplete(10), "b", modified(answered("a", 14), leaving), answered("b", 14)),
 		Entry("prefers a replica in a zone in service, at equal positions", incomplete(10), "b", modified(answered("a", 14), zoneOut), answered("b", 14)),
 		Entry("chooses a leaving replica that alone has every commit", incomplete(10), "a", modified(answered("a", 15), leaving), answered("b", 14)),
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -412,6 +412,7 @@
 		m := &members[i]
 		candidate := promotion.Member{
 			ID: m.ID, Zone: m.Zone, Leaving: m.Draining, OutOfService: current != nil && current.IsOutOfService(m.Zone),
+			MemberFor: m.memberFor(now),
 		}
 		if !m.unlistedSince.IsZero() {
 			candidate.UnlistedFor = max(now.Sub(m.unlistedSince), 1)
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -65,6 +65,8 @@
 
 	mu      sync.Mutex
 	members map[string]*poolMember
+	// wasListed is set once the group's members have been listed.
+	wasListed bool
 	// removed are former members on whose connections statements still run.
 	removed map[*poolMember]struct{}
 	primary string
@@ -135,9 +137,12 @@
 	// outOfServiceSince is when the member started draining or its zone was
 	// taken out of service.
 	outOfServiceSince time.Time
-	// unlistedSince is when the platform stopped listing the member.
-	unlistedSince time.Time
-	commitStalls  int
+	// unlistedSince is when the platform stopped listing the member, and listedAt when this
+	// instance first listed its process. sinceFirstStart is set if the member was there when
+	// the whole system was started for the first time.
+	unlistedSince, listedAt time.Time
+	sinceFirstStart         bool
+	commitStalls            int
 	// witness is an idle connection for calls of the gateway's own, or nil. The member
 	// is not asked to witness before witnessSilentUntil.
 	witness            *pooledConn
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -30,15 +30,17 @@
 	changed := p.maxConnections != maxConnections || p.servingInstances != serving.instances || p.inServingSet != serving.includesSelf
 	p.maxConnections, p.servingInstances, p.inServingSet = maxConnections, serving.instances, serving.includesSelf
 	p.scope, p.memberSetSize = serving.scope, serving.memberSetSize
+	isFirstStart := !p.wasListed && p.instances != nil && p.instances.gw.cfg.FirstStart
+	p.wasListed = true
 	present := make(map[string]bool, len(members))
 	for _, next := range members {
 		present[next.ID] = true
 		m := p.members[next.ID]
-		if m == nil || m.Address != next.Address || m.StartedMs != next.StartedMs {
+		if m == nil || !m.isSameProcess(next) {
 			if m != nil {
 				p.removeMember(m)
 			}
-			m = &poolMember{Member: next, idle: map[string][]*pooledConn{}, running: map[*pooledConn]struct{}{}}
+			m = &poolMember{Member: next, listedAt: now, sinceFirstStart: isFirstStart, idle: map[string][]*pooledConn{}, running: map[*pooledConn]struct{}{}}
 			p.members[next.ID] = m
 			changed = true
 		}
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -321,6 +321,7 @@
 		members = append(members, poolMember{
 			Member: m.Member, down: m.down, outOfServiceSince: m.outOfServiceSince, unlistedSince: m.unlistedSince,
 			failingSince: m.failingSince, lastAnswerAt: m.lastAnswerAt,
+			listedAt: m.listedAt, sinceFirstStart: m.sinceFirstStart,
 		})
 	}
 	return members, p.primary, p.term, p.acknowledged
