Draw joins, leaves, late orders and the commit fence in the promotion model

The promoter's part is a file of its own.

The rule without the fence still loses none of the older sequences, and each older variant still loses some; refused and missing pauses are tested without the fence too, as before.

--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -1,16 +1,30 @@
 package promotion_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
-	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
 )
 
-const maxModelSteps = 60
+const (
+	// maxModelSteps is the number of steps of a sequence. Replicas that join settle within
+	// longModelSteps, and do not within shortModelSteps.
+	maxModelSteps, longModelSteps, shortModelSteps = 60, 120, int(promotion.SettledAfter / stepTime)
+	// stepTime is the time that a step stands for.
+	stepTime = time.Second
+	// listedAfterLeaving and rememberedAfterLeaving are the numbers of steps for which the
+	// promoter's list shows a replica that has left, and for which the promoter remembers it.
+	listedAfterLeaving, rememberedAfterLeaving = 2, 10
+	// longAgo is the step since which the first replicas have been members.
+	longAgo = -1000
+	// maxReplicas limits the replicas of the group.
+	maxReplicas = 4
+)
 
-// modelReplica is a replica in the model.
+// modelReplica is one process of a replica in the model.
 type modelReplica struct {
 	id       string
 	received uint64
@@ -23,6 +37,13 @@
 	unlisted bool
 	// dark replicas respond to nobody and are not listed, but receive.
 	dark bool
+	// left is set once the replica has left with its log, at step leftAt.
+	left   bool
+	leftAt int
+	// began is the step at which the replica's process began, and knownBegan the one that
+	// the promoter knows of. The promoter does not know unseen replicas.
+	began, knownBegan int
+	unseen            bool
 }
 
 // modelInstance is an instance in the model. It remembers the commits whose
@@ -33,54 +54,58 @@
 	silent bool
 	// reachesPrimary is set while the instance gets responses of a primary that is up.
 	reachesPrimary bool
+	// fenced instances pass on no acknowledgement.
+	fenced bool
 }
 
-// modelRule says which parts of the promotion rule the model leaves out.
-type modelRule struct {
-	// ignoreSilentReplicas passes over silent replicas that are no longer listed, without
-	// any proof that the others have their commits.
-	ignoreSilentReplicas bool
-	// takeSilenceForNone treats instances that do not respond as if they knew of no commit.
-	takeSilenceForNone bool
-	// forgetRestarts treats an instance that has restarted as if it knew all commits of
-	// the process before it.
-	forgetRestarts bool
-	// skipPausing pauses no replica.
-	skipPausing bool
-	// acceptRefusedPauses treats a replica that refuses to be paused as paused.
-	acceptRefusedPauses bool
+// modelDraws says which events the model draws beside crashes, refusals and commits.
+type modelDraws struct {
+	// dark lets replicas become dark.
+	dark bool
+	// churn lets replicas join, leave with their logs and restart without them; unseen lets
+	// them do so before the promoter's list shows it.
+	churn, unseen bool
+	// silence lets instances become silent and restart. While replicas join and leave, silent
+	// instances reach no primary and nothing is heard of them while a promotion is pending,
+	// unless hidden is set.
+	silence, hidden bool
+	// steps is the number of steps of a sequence, or 0 for maxModelSteps.
+	steps int
 }
 
 // model simulates a group whose primary acknowledges a commit once one replica has
 // received it, and the instances that pass the acknowledgement on. The promoter, the first
-// instance, pauses one replica and requests the promotion of the other, which takes effect
-// at a later step.
+// instance, pauses all replicas but one and requests the promotion of that one, which takes
+// effect at a later step.
 type model struct {
 	rng          *rand.Rand
 	rule         modelRule
+	draws        modelDraws
+	step         int
 	primaryIndex uint64 // index of the primary's last commit
 	acknowledged uint64
 	primaryUp    bool
-	replicas     []*modelReplica
+	replicas     []*modelReplica // those that run, or have left
+	joined       int
 	instances    []*modelInstance
 	// restarted is set once an instance has restarted and forgotten what it knew.
-	restarted        bool
+	restarted bool
+	// change is the promoter's change of the primary before its order, or nil.
+	change           *modelChange
 	pendingPromotion *modelReplica
 	violations       []string
-	// withDarkReplicas lets replicas become dark.
-	withDarkReplicas bool
 }
 
-func newModel(seed uint64, rule modelRule) *model {
+func newModel(seed uint64, rule modelRule, draws modelDraws) *model {
 	return &model{
-		rng: rand.New(rand.NewPCG(seed, 7)), rule: rule, primaryUp: true,
-		replicas:  []*modelReplica{{id: "a"}, {id: "b"}},
+		rng: rand.New(rand.NewPCG(seed, 7)), rule: rule, draws: draws, primaryUp: true,
+		replicas:  []*modelReplica{{id: "a", began: longAgo, knownBegan: longAgo}, {id: "b", began: longAgo, knownBegan: longAgo}},
 		instances: []*modelInstance{{reachesPrimary: true}, {reachesPrimary: true}, {reachesPrimary: true}},
 	}
 }
 
 func (m *model) run() {
-	for range maxModelSteps {
+	for m.step = range cmp.Or(m.draws.steps, maxModelSteps) {
 		if m.pendingPromotion != nil && m.rng.IntN(4) == 0 {
 			m.promote()
 			return
@@ -91,20 +116,28 @@
 
 func (m *model) randomEvent() {
 	r := m.replicas[m.rng.IntN(len(m.replicas))]
-	switch m.rng.IntN(10) {
+	switch m.rng.IntN(11) {
 	case 0, 1, 2:
 		if m.primaryUp {
 			m.primaryIndex++
 		}
 	case 3, 4:
-		if m.primaryUp && !r.paused && !r.down && !r.notReceiving {
+		if m.primaryUp && !r.paused && !r.down && !r.notReceiving && !r.left {
 			r.received = m.primaryIndex
 			m.acknowledge(r.received)
 		}
 	case 5:
 		m.disturbMember(r)
 	case 6:
-		m.disturbInstance()
+		if m.draws.silence {
+			m.disturbInstance()
+		}
+	case 7:
+		if m.draws.churn {
+			m.replace(r)
+		}
+	case 8:
+		r.unseen, r.knownBegan = false, r.began
 	default:
 		if m.pendingPromotion == nil {
 			m.changePrimary()
@@ -117,130 +150,114 @@
 // them, and their outcome stays unknown.
 func (m *model) acknowledge(index uint64) {
 	i := m.instances[m.rng.IntN(len(m.instances))]
-	if i.reachesPrimary && index > m.acknowledged {
+	if i.reachesPrimary && !i.fenced && index > m.acknowledged {
 		m.acknowledged, i.acknowledged = index, index
 	}
 }
 
-// disturbMember crashes members and lets them come back with their logs. While a promotion
-// is pending nobody comes back: the model leaves out that a primary and a replica return
-// together in the moment between the proof and the promotion, that a paused replica
-// restarts in it, and, unless withDarkReplicas is set, that a replica which responds to no
-// instance still receives.
+// disturbMember crashes members and lets them come back with their logs. Without churn
+// nobody comes back while a promotion is pending: what is acknowledged then is kept by the
+// pauses alone.
 func (m *model) disturbMember(r *modelReplica) {
-	if m.withDarkReplicas && m.rng.IntN(3) == 0 {
+	if m.draws.dark && m.rng.IntN(3) == 0 {
 		r.dark = !r.dark
 		return
 	}
+	mayReturn := m.draws.churn || m.pendingPromotion == nil
 	switch m.rng.IntN(4) {
 	case 0:
-		if m.primaryUp || m.pendingPromotion == nil {
+		if m.primaryUp || mayReturn {
 			m.primaryUp = !m.primaryUp
 		}
 	case 1:
 		r.notReceiving = !r.notReceiving
 	default:
-		if !r.down || m.pendingPromotion == nil {
+		if !r.down || mayReturn {
 			r.down, r.unlisted = !r.down, m.rng.IntN(2) == 0
+			if m.draws.churn && !r.down {
+				m.restart(r)
+			}
+		}
+	}
+}
+
+// restart begins a new process of the replica, which is not paused.
+func (m *model) restart(r *modelReplica) {
+	r.paused, r.down, r.began = false, false, m.step
+	if !m.draws.unseen || m.rng.IntN(2) == 0 {
+		r.knownBegan = m.step
+	}
+}
+
+// replace lets replicas join, leave for good and restart without their logs. The successor of
+// a pending promotion does not restart: the platform promotes what runs under its ID.
+func (m *model) replace(r *modelReplica) {
+	switch kind := m.rng.IntN(4); {
+	case kind == 0:
+		m.join(0)
+	case r.left || r == m.pendingPromotion:
+	case kind == 1:
+		r.left, r.leftAt = true, m.step
+	case kind == 2:
+		r.received = 0
+		m.restart(r)
+	default: // a new member at the address has the log
+		r.left, r.leftAt = true, m.step
+		m.join(r.received)
+	}
+}
+
+func (m *model) join(received uint64) {
+	present := 0
+	for _, r := range m.replicas {
+		if !r.left {
+			present++
 		}
 	}
+	if present < maxReplicas {
+		m.joined++
+		m.replicas = append(m.replicas, &modelReplica{
+			id: fmt.Sprintf("j%d", m.joined), received: received, began: m.step, knownBegan: m.step,
+			unseen: m.draws.unseen && m.rng.IntN(2) == 0,
+		})
+	}
 }
 
 func (m *model) disturbInstance() {
 	i := m.instances[m.rng.IntN(len(m.instances))]
+	isolated := m.draws.churn && !m.draws.hidden
+	if isolated && m.pendingPromotion != nil {
+		return
+	}
 	switch m.rng.IntN(3) {
 	case 0:
-		i.reachesPrimary = !i.reachesPrimary
+		i.reachesPrimary = !i.reachesPrimary && (!isolated || !i.silent)
 	case 1:
 		if i != m.instances[0] {
 			i.silent = !i.silent
+			i.reachesPrimary = i.reachesPrimary && (!isolated || !i.silent)
 		}
 	default:
 		if m.rng.IntN(4) == 0 {
 			*i = modelInstance{reachesPrimary: i.reachesPrimary}
 			m.restarted = true
+			if i == m.instances[0] {
+				m.change = nil
+			}
 		}
 	}
 }
 
-// changePrimary performs the promoter's steps: it chooses a successor by the status
-// of all replicas, pauses the other replicas, and checks the choice again.
-func (m *model) changePrimary() {
-	chosen, ok := m.choose(nil)
-	if !ok {
-		return
-	}
-	refused := map[string]bool{}
-	for _, r := range m.replicas {
-		switch {
-		case r.id == chosen:
-			m.pendingPromotion = r
-		case m.rule.skipPausing || r.down || r.dark:
-		case m.rng.IntN(4) == 0:
-			refused[r.id] = true
-		default:
-			r.paused = true
-		}
-	}
-	// Commits may complete between the first status request and the pause.
-	if second, ok := m.choose(refused); !ok || second != chosen {
-		m.resume()
-	}
-}
-
-func (m *model) resume() {
-	for _, r := range m.replicas {
-		r.paused = false
-	}
-	m.pendingPromotion = nil
-}
-
-// choose applies the rule to what the promoter learns of the members and the instances. The
-// replicas in refused have refused to be paused.
-func (m *model) choose(refused map[string]bool) (string, bool) {
-	primary := promotion.Member{ID: "p"}
-	if m.primaryUp && m.instances[0].reachesPrimary {
-		primary.Answered, primary.Received = true, modelPosition(m.primaryIndex)
-	}
-	members := []promotion.Member{primary}
-	for _, r := range m.replicas {
-		member := promotion.Member{ID: r.id, MemberFor: promotion.SettledAfter}
-		switch {
-		case r.down && r.unlisted, r.dark:
-			member.UnlistedFor = promotion.UnlistedTimeout
-		case r.down, refused[r.id] && !m.rule.acceptRefusedPauses:
-		default:
-			member.Answered, member.Received = true, modelPosition(r.received)
-		}
-		members = append(members, member)
-	}
-	if m.rule.ignoreSilentReplicas {
-		return promotion.MostAdvanced(members, "p")
-	}
-	return promotion.Choose(members, "p", m.knowledge())
-}
-
-func (m *model) knowledge() promotion.Knowledge {
-	known := promotion.Knowledge{Complete: !m.restarted || m.rule.forgetRestarts}
-	for _, i := range m.instances {
-		if i.silent {
-			known.Complete = known.Complete && m.rule.takeSilenceForNone
-			continue
-		}
-		if p := modelPosition(i.acknowledged); p.Compare(known.Acknowledged) > 0 {
-			known.Acknowledged = p
-		}
-		if m.primaryUp && i.reachesPrimary {
-			known.Complete = false
-		}
+func (m *model) promote() {
+	if p := m.pendingPromotion; !p.left && p.received < m.acknowledged {
+		m.violations = append(m.violations, fmt.Sprintf("%s has %d of %d", p.id, p.received, m.acknowledged))
 	}
-	return known
 }
 
-func modelPosition(index uint64) group.Position { return group.Position{Term: 1, Index: index} }
-
-func (m *model) promote() {
-	if m.pendingPromotion.received < m.acknowledged {
-		m.violations = append(m.violations, fmt.Sprintf("%s has %d of %d", m.pendingPromotion.id, m.pendingPromotion.received, m.acknowledged))
+// settledFor returns how long the promoter thinks that the replica has been a member.
+func (m *model) settledFor(r *modelReplica) time.Duration {
+	if m.rule.countNewReplicas {
+		return promotion.SettledAfter
 	}
+	return time.Duration(m.step-r.knownBegan) * stepTime
 }
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -105,14 +105,14 @@
 )
 
 // Runs a model of a group with one primary and two replicas, and of three instances,
-// through random sequences of crashes, silence, refusals and restarts. No commit that a
-// client has seen acknowledged may be missing from the log of a member that Choose returns
-// after the others have been paused.
+// through random sequences of crashes, silence, refusals and restarts, and of replicas that
+// join and leave. No commit that a client has seen acknowledged may be missing from the log of
+// a member that Choose returns after the others have been paused and commits fenced.
 var _ = Describe("promotion rule", func() {
 	// lost returns the violations of the first 20,000 seeds.
-	lost := func(rule modelRule) (violations []string) {
-		for seed := range uint64(20000) {
-			m := newModel(seed, rule)
+	lost := func(rule modelRule, draws modelDraws) (violations []string) {
+		for seed := range uint64(modelSeeds) {
+			m := newModel(seed, rule, draws)
 			m.run()
 			for _, v := range m.violations {
 				violations = append(violations, fmt.Sprintf("seed %d: %s", seed, v))
@@ -120,32 +120,44 @@
 		}
 		return violations
 	}
-	It("loses no acknowledged commit in any order of events", func() {
-		Expect(lost(modelRule{})).To(BeEmpty())
-	})
-	It("promotes in a good part of the sequences, also while a replica is silent", func() {
-		promoted, withoutReplica := 0, 0
-		for seed := range uint64(2000) {
-			m := newModel(seed, modelRule{})
-			m.run()
-			if m.pendingPromotion == nil {
-				continue
-			}
-			promoted++
-			if m.replicas[0].down || m.replicas[1].down {
-				withoutReplica++
+	DescribeTable("loses no acknowledged commit in any order of events",
+		func(rule modelRule, draws modelDraws) { Expect(lost(rule, draws)).To(BeEmpty()) },
+		Entry("while instances are silent or restart", modelRule{}, silentInstances),
+		Entry("while instances are silent or restart, also if commits are not fenced", modelRule{withoutFence: true}, silentInstances),
+		Entry("while replicas that the promoter does not know join and leave", modelRule{}, unseenReplicas),
+		Entry("while replicas join and leave and instances are cut off", modelRule{}, replacedReplicas),
+	)
+	DescribeTable("promotes in a good part of the sequences, also while a replica is silent",
+		func(draws modelDraws) {
+			promoted, withoutReplica := 0, 0
+			for seed := range uint64(2000) {
+				m := newModel(seed, modelRule{}, draws)
+				m.run()
+				if m.pendingPromotion == nil {
+					continue
+				}
+				promoted++
+				if m.replicas[0].down || m.replicas[1].down {
+					withoutReplica++
+				}
 			}
-		}
-		Expect(promoted).To(BeNumerically(">", 1000))
-		Expect(withoutReplica).To(BeNumerically(">", 50))
-	})
-	DescribeTable("loses acknowledged commits in the model", func(rule modelRule) {
-		Expect(lost(rule)).NotTo(BeEmpty())
+			Expect(promoted).To(BeNumerically(">", 1000))
+			Expect(withoutReplica).To(BeNumerically(">", 50))
+		},
+		Entry("while instances are silent or restart", silentInstances),
+		Entry("while replicas that the promoter does not know join and leave", unseenReplicas),
+	)
+	DescribeTable("loses acknowledged commits in the model", func(rule modelRule, draws modelDraws) {
+		Expect(lost(rule, draws)).NotTo(BeEmpty())
 	},
-		Entry("if replicas that do not respond are ignored", modelRule{ignoreSilentReplicas: true}),
-		Entry("if instances that do not respond are ignored", modelRule{takeSilenceForNone: true}),
-		Entry("if what an instance knew before its restart is ignored", modelRule{forgetRestarts: true}),
-		Entry("if the other replicas are not paused", modelRule{skipPausing: true}),
-		Entry("if a replica that refuses its pause counts as paused", modelRule{acceptRefusedPauses: true}),
+		Entry("if replicas that do not respond are ignored", modelRule{ignoreSilentReplicas: true}, silentInstances),
+		Entry("if instances that do not respond are ignored", modelRule{takeSilenceForNone: true}, silentInstances),
+		Entry("if what an instance knew before its restart is ignored", modelRule{forgetRestarts: true}, silentInstances),
+		Entry("if the other replicas are not paused", modelRule{skipPausing: true}, silentInstances),
+		Entry("if a replica that refuses its pause counts as paused", modelRule{acceptRefusedPauses: true}, silentInstances),
+		Entry("if neither commits are fenced nor the other replicas paused", modelRule{withoutFence: true, skipPausing: true}, silentInstances),
+		Entry("if a replica that refuses its pause counts as paused and commits are not fenced", modelRule{withoutFence: true, acceptRefusedPauses: true}, silentInstances),
+		Entry("if commits are not fenced", modelRule{withoutFence: true}, unseenReplicas),
+		Entry("if replicas that have just joined or restarted count like the others", modelRule{countNewReplicas: true}, replacedReplicas),
 	)
 })
