Do not count the answer of a member's process for the one that replaces it

A replica that restarted under its ID between its pause and the order counted as paused, with the log of the process before it, while it received again.

An answer now carries the entry of the process that gave it, and counts only while the list shows that process (ID, address and start time). Right before an order the proof ends if the list shows a process other than the primary that it did not show when the proof was made; the change begins anew, or pauses that member if the order may be pending.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -59,6 +59,8 @@
 	pausedAgain []Member
 	// confirmedAt is when the successor was last confirmed to hold every commit.
 	confirmedAt time.Time
+	// confirmedMembers are the members that were listed then.
+	confirmedMembers []poolMember
 	// orders are the promotions ordered before, by this change or by earlier ones.
 	orders groupOrders
 }
@@ -231,11 +233,11 @@
 }
 
 // candidatesWithStatus combines the known members with the statuses that they
-// returned.
-func (c *primaryChange) candidatesWithStatus(members []poolMember, statuses map[string]statement.MemberStatus) []promotion.Member {
+// returned. The answer of a process does not count for one that has replaced it.
+func (c *primaryChange) candidatesWithStatus(members []poolMember, statuses map[string]memberAnswer) []promotion.Member {
 	out := c.controller.promotionCandidates(members)
 	for i := range out {
-		if s, ok := statuses[out[i].ID]; ok {
+		if s, ok := statuses[out[i].ID]; ok && s.from.isSameProcess(members[i].Member) {
 			out[i].Answered, out[i].Received, out[i].Role = true, s.Received, s.Role
 		}
 	}
@@ -246,13 +248,14 @@
 // paused replicas, the primary's log and the instances require. members were listed after
 // the pause, so that a member that has joined since the successor was chosen counts as not
 // paused.
-func (c *primaryChange) awaitCatchUp(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) bool {
+func (c *primaryChange) awaitCatchUp(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
+	c.confirmedMembers = members
 	for range 4 {
 		status, err := c.pool.controlCall(ctx, successor, statement.Statement{Kind: statement.Status})
 		if err != nil {
 			return false
 		}
-		statuses[successor.ID] = status
+		statuses[successor.ID] = memberAnswer{status, successor}
 		candidates := c.candidatesWithStatus(members, statuses)
 		if promotion.MayPromote(successor.ID, candidates, c.primary, c.knowledge(ctx, candidates)) {
 			c.confirmedAt = time.Now()
@@ -303,7 +306,7 @@
 			delete(statuses, m.ID)
 			continue
 		}
-		statuses[m.ID] = paused
+		statuses[m.ID] = memberAnswer{paused, m}
 		c.pausedAgain = append(c.pausedAgain, m)
 	}
 	return c.awaitCatchUp(ctx, members, successor, statuses)
@@ -318,7 +321,7 @@
 		if !ok {
 			return false, errNotDutyHolder
 		}
-		if time.Since(c.confirmedAt) > maxSuccessorProofAge {
+		if time.Since(c.confirmedAt) > maxSuccessorProofAge || c.hasNewMembers() {
 			if !c.orders.pending || c.orders.member != successor.ID {
 				return false, errUnprovenSuccessor // the change begins anew
 			}
--- a/pkg/gateway/controlcalls.go
+++ b/pkg/gateway/controlcalls.go
@@ -17,12 +17,18 @@
 // again.
 const resumeRetryInterval = 200 * time.Millisecond
 
+// memberAnswer is the status that a process of a member has returned.
+type memberAnswer struct {
+	statement.MemberStatus
+	from Member
+}
+
 // callMembers sends a status call, or the statement returned by choose, to all
 // members and returns the statuses of those that responded.
-func (c *primaryChange) callMembers(ctx context.Context, choose func(Member) (statement.Statement, bool)) map[string]statement.MemberStatus {
+func (c *primaryChange) callMembers(ctx context.Context, choose func(Member) (statement.Statement, bool)) map[string]memberAnswer {
 	members, _, _, _ := c.pool.snapshot()
 	var mu sync.Mutex
-	out := map[string]statement.MemberStatus{}
+	out := map[string]memberAnswer{}
 	var calls sync.WaitGroup
 	for i := range members {
 		m := members[i].Member
@@ -42,7 +48,7 @@
 				return
 			}
 			mu.Lock()
-			out[m.ID] = status
+			out[m.ID] = memberAnswer{status, m}
 			mu.Unlock()
 		}()
 	}
--- a/pkg/gateway/memberage.go
+++ b/pkg/gateway/memberage.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/core/promotion"
@@ -28,3 +29,12 @@
 func (m Member) isSameProcess(other Member) bool {
 	return m.ID == other.ID && m.Address == other.Address && m.StartedMs == other.StartedMs
 }
+
+// hasNewMembers reports whether a process is listed that was not when the successor was
+// confirmed. It may receive commits.
+func (c *primaryChange) hasNewMembers() bool {
+	members, _, _, _ := c.pool.snapshot()
+	return slices.ContainsFunc(members, func(m poolMember) bool {
+		return m.ID != c.primary && !slices.ContainsFunc(c.confirmedMembers, func(known poolMember) bool { return known.isSameProcess(m.Member) })
+	})
+}
--- a/pkg/gateway/memberage_test.go
+++ b/pkg/gateway/memberage_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
+	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
+	"github.com/mulberrysill/mulberrysill/core/statement"
 )
 
 // startedAgo is the entry of a member that has started so long ago; 0 for an unknown time.
@@ -70,3 +73,60 @@
 	m.StartedMs = 0
 	g.Expect(m.memberFor(now)).To(Equal(40 * time.Second))
 }
+
+// Guards against a pause or a position that was reported by a process which another one has
+// replaced under its ID: the other one receives, and has another log.
+func TestAnswerDoesNotCountForTheProcessThatReplacesAMember(t *testing.T) {
+	g := NewWithT(t)
+	gw, p := groupOf(true, startedAgo("m1", time.Hour), startedAgo("m2", time.Hour))
+	c := &primaryChange{controller: gw.controller, pool: p}
+	members, _, _, _ := p.snapshot()
+	answers := map[string]memberAnswer{}
+	for i := range members {
+		answers[members[i].ID] = memberAnswer{statement.MemberStatus{Received: group.Position{Term: 1, Index: 5}}, members[i].Member}
+	}
+	answering := func() (ids []string) {
+		members, _, _, _ := p.snapshot()
+		for _, m := range c.candidatesWithStatus(members, answers) {
+			if m.Answered {
+				ids = append(ids, m.ID)
+			}
+		}
+		return ids
+	}
+	g.Expect(answering()).To(ConsistOf("m1", "m2"))
+	gw.controller.applyMemberChanges([]Change[Member]{startedAgo("m2", time.Second)}, false)
+	g.Expect(answering()).To(ConsistOf("m1"))
+}
+
+// Guards against an order whose proof is older than a member that receives commits since.
+func TestNoPromotionIsOrderedOnAProofFromBeforeAMemberStarted(t *testing.T) {
+	for name, started := range map[string]Member{
+		"a member joins": {ID: "r3", Group: "g"}, "a member restarts": {ID: "r2", Group: "g", StartedMs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			members := &ledMembers{pausableMembers: pausableMembers{paused: map[string]uint64{}}, leader: "primary"}
+			promoter := &orderRecorder{}
+			c := changeWithOrders(members, promoter, promotion.Unreachable, groupOrders{})
+			c.confirmedAt = time.Now()
+			c.confirmedMembers, _, _, _ = c.pool.snapshot()
+			c.pool.mu.Lock()
+			c.pool.members[started.ID] = &poolMember{Member: started}
+			c.pool.mu.Unlock()
+			_, err := c.orderPromotion(context.Background(), Member{ID: "r1", Group: "g"})
+			g.Expect(err).To(MatchError(errUnprovenSuccessor))
+			g.Expect(promoter.orders).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a proof that never holds because the primary restarts: it is not paused.
+func TestProofHoldsWhileOnlyThePrimaryRestarts(t *testing.T) {
+	g := NewWithT(t)
+	gw, p := groupOf(true, startedAgo("p", time.Hour), startedAgo("m1", time.Hour))
+	c := &primaryChange{controller: gw.controller, pool: p, primary: "p"}
+	c.confirmedMembers, _, _, _ = p.snapshot()
+	gw.controller.applyMemberChanges([]Change[Member]{startedAgo("p", time.Second)}, false)
+	g.Expect(c.hasNewMembers()).To(BeFalse())
+}
