--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -66,6 +66,8 @@
 	// confirmedLog what it had received then.
 	confirmedAt  time.Time
 	confirmedLog group.Position
+	// confirmedMembers are the members that were listed then.
+	confirmedMembers []poolMember
 	// orders are the promotions ordered before, by this change or by earlier ones.
 	orders groupOrders
 }
@@ -236,11 +238,11 @@
 }
 
 // candidatesWithStatus combines the known members with the statuses that they
-// returned.
-func (c *primaryChange) candidatesWithStatus(members []poolMember, statuses map[string]statement.MemberStatus) []promotion.Member {
+// returned. The answer of a process does not count for one that has replaced it.
+func (c *primaryChange) candidatesWithStatus(members []poolMember, statuses map[string]memberAnswer) []promotion.Member {
 	out := c.controller.promotionCandidates(members)
 	for i := range out {
-		if s, ok := statuses[out[i].ID]; ok {
+		if s, ok := statuses[out[i].ID]; ok && s.from.isSameProcess(members[i].Member) {
 			out[i].Answered, out[i].Received, out[i].Role = true, s.Received, s.Role
 		}
 	}
@@ -251,7 +253,8 @@
 // paused replicas, the primary's log and the instances require. members were listed after
 // the pause, so that a member that has joined since the successor was chosen counts as not
 // paused.
-func (c *primaryChange) awaitCatchUp(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) bool {
+func (c *primaryChange) awaitCatchUp(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
+	c.confirmedMembers = members
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
 		if !ok {
@@ -267,19 +270,19 @@
 
 // candidatesWithSuccessor asks the successor for its status and combines it with those of the
 // other members.
-func (c *primaryChange) candidatesWithSuccessor(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) ([]promotion.Member, bool) {
+func (c *primaryChange) candidatesWithSuccessor(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) ([]promotion.Member, bool) {
 	status, err := c.callMember(ctx, successor, statement.Statement{Kind: statement.Status})
 	if err != nil {
 		return nil, false
 	}
-	statuses[successor.ID] = status
+	statuses[successor.ID] = memberAnswer{status, successor}
 	return c.candidatesWithStatus(members, statuses), true
 }
 
 // confirmFenced sets a commit fence and reports whether the successor holds all commits that
 // were acknowledged before. Members that this instance does not know may have acknowledged
 // some of them. If an instance cannot be fenced, the logs of the members must show them all.
-func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]statement.MemberStatus) bool {
+func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
 	isFenced := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
@@ -383,7 +386,7 @@
 			delete(statuses, m.ID)
 			continue
 		}
-		statuses[m.ID] = paused
+		statuses[m.ID] = memberAnswer{paused, m}
 		c.pausedAgain = append(c.pausedAgain, m)
 	}
 	return c.awaitCatchUp(ctx, members, successor, statuses)
@@ -399,7 +402,7 @@
 		if !ok {
 			return false, errNotDutyHolder
 		}
-		if time.Since(c.confirmedAt) > maxSuccessorProofAge {
+		if time.Since(c.confirmedAt) > maxSuccessorProofAge || c.hasNewMembers() {
 			if !c.orders.pending || c.orders.member != successor.ID {
 				return false, errUnprovenSuccessor // the change begins anew
 			}
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -66,6 +66,8 @@
 
 	mu      sync.Mutex
 	members map[string]*poolMember
+	// wasListed is set once the group's members have been listed.
+	wasListed bool
 	// removed are former members on whose connections statements still run.
 	removed map[*poolMember]struct{}
 	primary string
