Keep a control connection to each member at the holder of the lease

What callers saw: while all connections of a group's members were in use, its primary could not be replaced, and commits waited. The log of the incident has "member answered too-many" in a line that says "member does not answer".

Cause: each control call (status, pause, resume, demote) opened a connection of its own and so competed with clients for the member's connection limit. A refusal because of load was returned at once, and the change of primary treats it as silence.

Change: the holder of the promotion lease keeps one connection to each member open for control calls, checks it every 0.5 s, replaces it when it is lost, and closes it when it no longer holds the lease. All control calls use it, else an idle connection of any workspace, else a new one; the leadership checks share that code. A call refused with TOOMANY or BUSY is repeated within controlTimeout, and opens at most one connection per 150 ms meanwhile. One that fails on an open connection, other than by its deadline, is sent again on another.

--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -266,7 +266,9 @@
 	c.reportUnusableGroups(time.Now())
 	c.ensureDutyHolder(ctx)
 	c.recordSettledEra(ctx, time.Now())
+	_, holdsLease, _ := c.gw.peers.dutyHolder()
 	c.gw.forEachPool(func(p *pool) {
+		c.keepControlConns(ctx, p, holdsLease)
 		p.tick(ctx)
 		c.watchPrimary(ctx, p)
 	})
--- a/pkg/gateway/leadership.go
+++ b/pkg/gateway/leadership.go
@@ -173,7 +173,7 @@
 // demote tells a former primary that the group has a primary in the term.
 func (p *pool) demote(m *poolMember, term uint64) {
 	// A failed call is repeated by the next check.
-	_, _ = p.askMember(m, "", time.Now().Add(leadershipTimeout), statement.Statement{Kind: statement.Demote, Term: term})
+	_, _ = p.controlCallUntil(context.Background(), m, time.Now().Add(leadershipTimeout), statement.Statement{Kind: statement.Demote, Term: term})
 }
 
 // witnesses returns the other members of the group and an empty witness for each. A
@@ -231,19 +231,16 @@
 }
 
 func (p *pool) askStatus(m *poolMember, deadline time.Time) (statement.MemberStatus, error) {
-	reply, err := p.askMember(m, "", deadline, statement.Statement{Kind: statement.Status})
+	status, err := p.controlCallUntil(context.Background(), m, deadline, statement.Statement{Kind: statement.Status})
 	if err != nil {
-		return statement.MemberStatus{}, err
-	}
-	if reply.Err != nil {
-		return statement.MemberStatus{}, reply.Err
+		p.noteSilentWitness(m, err)
 	}
-	return p.dialer.ParseStatus(reply)
+	return status, err
 }
 
 // askMember sends one statement of the gateway's own to a member.
 func (p *pool) askMember(m *poolMember, workspace string, deadline time.Time, st statement.Statement) (statement.Reply, error) {
-	conn, pooled, err := p.witnessConn(m, workspace, deadline)
+	conn, err := p.witnessConn(m, workspace, deadline)
 	if err != nil {
 		p.noteSilentWitness(m, err)
 		return statement.Reply{}, err
@@ -253,11 +250,7 @@
 		// The member leads, or failed otherwise: end its transaction.
 		_, err = p.exchange(conn, deadline, statement.Statement{Kind: statement.Rollback})
 	}
-	if pooled {
-		p.release(conn, err == nil)
-	} else {
-		p.keepWitnessConn(conn, err == nil)
-	}
+	p.returnConn(conn, err == nil)
 	if len(replies) == 1 {
 		return replies[0], nil
 	}
@@ -265,75 +258,27 @@
 	return statement.Reply{}, err
 }
 
-// witnessConn returns a connection to the member for one statement: an idle one of any
-// workspace, or a new one of the given workspace that stays in the pool. Connections to
-// members are scarce, above all after a loss of power, when members keep the old ones for
-// several seconds. Only if all connections of this instance are in use, one more is
-// opened; pooled is then false.
-func (p *pool) witnessConn(m *poolMember, workspace string, deadline time.Time) (conn *pooledConn, pooled bool, err error) {
-	p.mu.Lock()
-	for {
-		conn := m.anyIdle()
-		if conn == nil {
-			break
-		}
-		p.takeIdle(m, conn)
-		p.mu.Unlock()
-		if !conn.IsStale() {
-			return conn, true, nil
-		}
-		p.release(conn, false)
-		p.mu.Lock()
-	}
-	if conn = m.witness; conn != nil {
-		m.witness = nil
-		p.mu.Unlock()
-		if !conn.IsStale() {
-			return conn, false, nil
-		}
-		conn.Close()
-		p.mu.Lock()
+// witnessConn returns a connection to the member for one statement: an unused one, or a new
+// one of the given workspace that stays in the pool. Connections to members are scarce, above
+// all after a loss of power, when members keep the old ones for several seconds. Only if all
+// connections of this instance are in use, one more is opened, which does not belong to the
+// pool.
+func (p *pool) witnessConn(m *poolMember, workspace string, deadline time.Time) (*pooledConn, error) {
+	if conn := p.unusedConn(m, false); conn != nil {
+		return conn, nil
 	}
 	now := time.Now()
+	p.mu.Lock()
 	if workspace != "" && m.open < p.connLimit(m) && !now.Before(m.connLimitUntil) && m.acceptsWork(false, now) {
 		m.open++
 		m.opening++
 		p.mu.Unlock()
-		conn, err = p.openConn(context.Background(), grant{member: m}, &connRequest{workspace: workspace, deadline: deadline})
-		return conn, true, err
+		return p.openConn(context.Background(), grant{member: m}, &connRequest{workspace: workspace, deadline: deadline})
 	}
 	p.mu.Unlock()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	opened, err := p.dialer.Open(ctx, m.Member, controlWorkspace)
-	if err != nil {
-		return nil, false, err
-	}
-	return &pooledConn{MemberConn: opened, member: m, workspace: controlWorkspace}, false, nil
-}
-
-// keepWitnessConn keeps a connection that is not part of the pool for the next statement
-// of the gateway's own, if it is usable.
-func (p *pool) keepWitnessConn(conn *pooledConn, usable bool) {
-	m := conn.member
-	p.mu.Lock()
-	keep := usable && m.witness == nil && p.members[m.ID] == m
-	if keep {
-		m.witness, conn.lastUsedAt = conn, time.Now()
-	}
-	p.mu.Unlock()
-	if !keep {
-		conn.Close()
-	}
-}
-
-// closeUnusedWitness closes the member's connection outside the pool if it was not used
-// for witnessIdleTimeout. The caller holds p.mu.
-func (m *poolMember) closeUnusedWitness(now time.Time) {
-	if m.witness != nil && now.Sub(m.witness.lastUsedAt) > witnessIdleTimeout {
-		m.witness.Close()
-		m.witness = nil
-	}
+	return p.openOwnConn(ctx, m)
 }
 
 // noteSilentWitness makes the next checks not wait for a member that did not answer.
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -101,6 +101,8 @@
 	// a connection.
 	meanHoldTime time.Duration
 	lastRead     time.Time
+	// keepsControlConns is set while this instance holds the promotion lease.
+	keepsControlConns bool
 }
 
 // poolEvent reports that a member is unusable.
@@ -138,9 +140,8 @@
 	// unlistedSince is when the platform stopped listing the member.
 	unlistedSince time.Time
 	commitStalls  int
-	// witness is an idle connection for calls of the gateway's own, or nil. The member
-	// is not asked to witness before witnessSilentUntil.
-	witness            *pooledConn
+	own           ownConns
+	// The member is not asked to witness before witnessSilentUntil.
 	witnessSilentUntil time.Time
 }
 
@@ -158,6 +159,8 @@
 	isCommit bool
 	charged  time.Duration
 	closed   bool
+	// unpooled is set if the connection is one of the member's ownConns.
+	unpooled bool
 	// priority is that of the request for which the connection was granted.
 	priority int
 	// paced is the statement in progress for the member's pace.
--- a/pkg/gateway/positions.go
+++ b/pkg/gateway/positions.go
@@ -114,7 +114,7 @@
 		return
 	}
 	deadline := time.Now().Add(probeTimeout)
-	conn, pooled, err := p.witnessConn(m, "", deadline)
+	conn, err := p.witnessConn(m, "", deadline)
 	if err != nil {
 		return // the asker learns that the position is old
 	}
@@ -122,10 +122,5 @@
 	if err == nil && !ok {
 		p.recordNotPrimary(conn)
 	}
-	usable := err == nil || errors.Is(err, errUnconfirmed)
-	if pooled {
-		p.release(conn, usable)
-	} else {
-		p.keepWitnessConn(conn, usable)
-	}
+	p.returnConn(conn, err == nil || errors.Is(err, errUnconfirmed))
 }
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -83,10 +83,8 @@
 			c.Close()
 		}
 	}
-	if m.witness != nil {
-		m.witness.Close()
-		m.witness = nil
-	}
+	m.own.closeWitness()
+	m.own.closeControl()
 	delete(p.members, m.ID)
 	if len(m.running) > 0 {
 		p.removed[m] = struct{}{}
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -128,7 +128,7 @@
 // holds p.mu.
 func (p *pool) closeUnused(m *poolMember, now time.Time) {
 	refusesWork := !m.acceptsWork(m.ID == p.primary, now)
-	m.closeUnusedWitness(now)
+	p.closeUnusedOwn(m, now)
 	for _, list := range m.idle {
 		for _, c := range append([]*pooledConn(nil), list...) {
 			if refusesWork || m.open > p.connLimit(m) || now.Sub(c.lastUsedAt) > p.idleTimeout(m) {
@@ -286,32 +286,6 @@
 	return err == nil || isMemberError(err)
 }
 
-// controlCall sends one control statement on a dedicated connection.
-func (p *pool) controlCall(ctx context.Context, m Member, s statement.Statement) (statement.MemberStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	c, err := p.dialer.Open(ctx, m, controlWorkspace)
-	if err != nil {
-		return statement.MemberStatus{}, err
-	}
-	defer c.Close()
-	deadline, _ := ctx.Deadline()
-	if err := c.Send(deadline, s); err != nil {
-		return statement.MemberStatus{}, err
-	}
-	r, err := c.Receive()
-	if err != nil {
-		return statement.MemberStatus{}, err
-	}
-	if r.Err != nil {
-		return statement.MemberStatus{}, r.Err
-	}
-	return p.dialer.ParseStatus(r)
-}
-
-// controlTimeout bounds a control call, which may wait for an execution slot.
-const controlTimeout = 500 * time.Millisecond
-
 // snapshot returns copies of the members, and the primary, its term and the
 // highest acknowledged position.
 func (p *pool) snapshot() (members []poolMember, primary string, term uint64, acknowledged group.Position) {
