--- a/pkg/gateway/handover_test.go
+++ b/pkg/gateway/handover_test.go
@@ -158,6 +158,10 @@
 }
 
 func (c *handoverConn) Send(deadline time.Time, statements ...statement.Statement) error {
+	if c.h.silent[c.member.ID] || c.h.dead.Load() == c.member.ID {
+		return context.DeadlineExceeded // on open connections, too
+	}
+	c.err = nil
 	c.h.mu.Lock()
 	for _, s := range statements {
 		if s.Kind == statement.Resume {
