Tell a member that refuses a control call from a silent one in the log

What callers saw: "member does not answer" for a member that had answered TOOMANY, so that operators looked for a dead member instead of a full one.

Cause: all failed control calls of a change of primary shared one message.

Change: a refusal is logged as "member refuses the call" with its code. A pause that was refused keeps its refusal in "member is not paused in term ...".

--- a/pkg/gateway/controlcalls.go
+++ b/pkg/gateway/controlcalls.go
@@ -38,7 +38,7 @@
 			defer calls.Done()
 			status, err := c.callMember(ctx, m, st)
 			if err != nil {
-				c.log().WithFields(logrus.Fields{"member": m.ID, "call": st.Kind.String()}).WithError(err).Info("member does not answer")
+				c.logFailedCall(m, st, err)
 				return
 			}
 			mu.Lock()
@@ -50,6 +50,17 @@
 	return out
 }
 
+// logFailedCall logs a control call that returned no status. A member that refuses the call
+// is alive, unlike one that may be silent.
+func (c *primaryChange) logFailedCall(m Member, st statement.Statement, err error) {
+	entry := c.log().WithFields(logrus.Fields{"member": m.ID, "call": st.Kind.String()}).WithError(err)
+	if refused := new(statement.Error); errors.As(err, &refused) {
+		entry.WithField("code", refused.Code.String()).Info("member refuses the call")
+		return
+	}
+	entry.Info("member does not answer")
+}
+
 // callMember sends a status call or a pause to a member. A pause that was refused counts
 // only if the member's status shows one of the same or a later term, as after a call whose
 // response was lost. Most refusals mean that the member goes on receiving.
@@ -58,14 +69,19 @@
 	if st.Kind != statement.Pause {
 		return status, err
 	}
+	var refusal error
 	if isMemberError(err) {
-		refusal := err
+		refusal = err
 		if status, err = c.pool.controlCall(ctx, m, statement.Statement{Kind: statement.Status}); err != nil {
 			return status, errors.CombineErrors(refusal, err)
 		}
 	}
 	if err == nil && (status.Role != group.Replica || status.PausedTerm < st.Term) {
-		return status, errors.Newf("member is not paused in term %d: %s with a pause in term %d", st.Term, status.Role, status.PausedTerm)
+		const format = "member is not paused in term %d: %s with a pause in term %d"
+		if refusal != nil {
+			return status, errors.Wrapf(refusal, format, st.Term, status.Role, status.PausedTerm)
+		}
+		return status, errors.Newf(format, st.Term, status.Role, status.PausedTerm)
 	}
 	return status, err
 }
