Read the member's entry under the lock when probing it

What callers saw: nothing known; the race detector reports it.

Cause: isReachable passed the member's entry to the dialer without the pool's mutex while updateEntry replaces it, and could have dialed a torn address.

Change: the entry is copied under the mutex.

Evidence: go test -race ./pkg/gateway -run TestSuite -ginkgo.focus 'all connections of the members|change of primary' reported it in both runs before, and on with the focus 'change of primary'; after the change one run is clean. The race of requestRecord.noteAttempt with updateEntry, reported in one of the runs before, is not touched.

--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -268,6 +268,7 @@
 	if conn != nil {
 		p.takeIdle(m, conn)
 	}
+	entry := m.Member // the list of members may change it meanwhile
 	p.mu.Unlock()
 	if conn != nil {
 		_, err := p.exchange(conn, time.Now().Add(probeTimeout),
@@ -279,7 +280,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	c, err := p.dialer.Open(ctx, m.Member, controlWorkspace)
+	c, err := p.dialer.Open(ctx, entry, controlWorkspace)
 	if err == nil {
 		c.Close()
 	}
