Do not take a former primary's log for that of the primary

Acknowledged commits could be missing at a new primary: if the primary restarts under its ID, its log may be gone, and it answers as a replica. Its position still counted as the whole log of the primary, which stands in for the logs of replicas that are silent or have joined.

A member that answers as a replica no longer gives the primary's log; the instances have to know all commits then.

--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -273,10 +273,11 @@
 	return out
 }
 
-// primaryLog returns the position of the primary's log, or false if it did not answer.
+// primaryLog returns the position of the primary's log, or false if it did not answer. A
+// primary that answers as a replica may have restarted without its log.
 func primaryLog(members []Member, primary string) (group.Position, bool) {
 	for i := range members {
-		if m := &members[i]; m.ID == primary && m.Answered {
+		if m := &members[i]; m.ID == primary && m.Answered && m.Role != group.Replica {
 			return m.Received, true
 		}
 	}
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -72,6 +72,15 @@
 		Entry("prefers a replica in a zone in service, at equal positions", incomplete(10), "b", modified(answered("a", 14), zoneOut), answered("b", 14)),
 		Entry("chooses a leaving replica that alone has every commit", incomplete(10), "a", modified(answered("a", 15), leaving), answered("b", 14)),
 	)
+	It("does not take the log of a former primary that restarted as a replica for that of the primary", func() {
+		restarted := answered("p", 3)
+		restarted.Role = group.Replica
+		members := []promotion.Member{restarted, answered("a", 12)}
+		_, ok := promotion.Choose(members, "p", incomplete(10))
+		Expect(ok).To(BeFalse())
+		id, _ := promotion.Choose(members, "p", complete(12))
+		Expect(id).To(Equal("a"))
+	})
 	DescribeTable("while the primary responds",
 		func(known promotion.Knowledge, want string, members ...promotion.Member) {
 			id, ok := promotion.Choose(append([]promotion.Member{answered("p", 20)}, members...), "p", known)
