--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -23,9 +23,11 @@
 	wait         sync.WaitGroup
 }
 
-func startWriters(d *deployment) *writers {
+func startWriters(d *deployment) *writers { return startWritersOn(d.instances) }
+
+func startWritersOn(instances []*instance) *writers {
 	w := &writers{stop: make(chan struct{})}
-	for n, i := range d.instances {
+	for n, i := range instances {
 		w.wait.Add(1)
 		go func() {
 			defer w.wait.Done()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/placement"
+	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/pkg/gateway"
 	"github.com/mulberrysill/mulberrysill/platform"
 	"github.com/mulberrysill/mulberrysill/platform/standin"
@@ -58,6 +61,8 @@
 	ended       chan error
 	// answersPeers is false while calls of peers reach the instance and get no answer.
 	answersPeers atomic.Bool
+	// members is the instance's network to the members.
+	members *memberNetwork
 }
 
 // newDeployment starts members and instances; rate applies to the workspace
@@ -176,6 +181,90 @@
 	return n, err
 }
 
+// memberNetwork connects an instance to the members that it is not cut off from.
+type memberNetwork struct {
+	platform.MemberDialer
+
+	mu    sync.Mutex
+	cut   map[string]bool           // guarded by mu
+	conns map[*networkConn]struct{} // guarded by mu: the open connections
+}
+
+func newMemberNetwork() *memberNetwork {
+	return &memberNetwork{cut: map[string]bool{}, conns: map[*networkConn]struct{}{}}
+}
+
+// cutOff breaks the connections to the member. Attempts to open one get no answer until
+// restore is called.
+func (n *memberNetwork) cutOff(member string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[member] = true
+	for conn := range n.conns {
+		if conn.member == member {
+			conn.broken.Store(true)
+			conn.Interrupt()
+		}
+	}
+}
+
+func (n *memberNetwork) restore(member string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, member)
+}
+
+func (n *memberNetwork) isCutOff(member string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[member]
+}
+
+func (n *memberNetwork) Open(ctx context.Context, m gateway.Member, workspace string) (gateway.MemberConn, error) {
+	if n.isCutOff(m.ID) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	opened, err := n.MemberDialer.Open(ctx, m, workspace)
+	if err != nil {
+		return nil, err
+	}
+	conn := &networkConn{MemberConn: opened, network: n, member: m.ID}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	conn.broken.Store(n.cut[m.ID])
+	n.conns[conn] = struct{}{}
+	return conn, nil
+}
+
+type networkConn struct {
+	gateway.MemberConn
+	network *memberNetwork
+	member  string
+	broken  atomic.Bool
+}
+
+func (c *networkConn) Send(deadline time.Time, statements ...statement.Statement) error {
+	if c.broken.Load() {
+		return syscall.ECONNRESET
+	}
+	return c.MemberConn.Send(deadline, statements...)
+}
+
+func (c *networkConn) Receive() (statement.Reply, error) {
+	if c.broken.Load() {
+		return statement.Reply{}, syscall.ECONNRESET
+	}
+	return c.MemberConn.Receive()
+}
+
+func (c *networkConn) Close() {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	c.MemberConn.Close()
+}
+
 // listMembers writes the members' entries.
 func (d *deployment) listMembers() {
 	for _, m := range d.group.Members() {
@@ -200,12 +289,12 @@
 	log.SetOutput(GinkgoWriter)
 	log.AddHook(relayHook{&d.relayedLines})
 	peers := listen()
-	i := &instance{id: id, ended: make(chan error, 1)}
+	i := &instance{id: id, ended: make(chan error, 1), members: newMemberNetwork()}
 	i.answersPeers.Store(true)
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: true,
-		ClientListener: clients, PeerListener: callCounter{peerListener{peers, i}, map[string]*atomic.Int64{"Usage": &d.usageCalls, "/Run": &d.relayedStatements}}, ReadinessListener: listen(), Dialer: platform.MemberDialer{},
+		ClientListener: clients, PeerListener: callCounter{peerListener{peers, i}, map[string]*atomic.Int64{"Usage": &d.usageCalls, "/Run": &d.relayedStatements}}, ReadinessListener: listen(), Dialer: i.members,
 		ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
