--- a/Makefile
+++ b/Makefile
@@ -43,12 +43,13 @@
 	done
 
 # Runs the soak test for COUNT consecutive seeds, the first of which is SEED. Each run
-# injects faults for SOAK_DURATION; PLANNED=1 restricts them to planned work.
+# injects faults for SOAK_DURATION; PLANNED=1 restricts them to planned work,
+# and REPLICAS=1 draws changes of replicas and late promotions.
 SEED ?= 1
 COUNT ?= 1
 SOAK_DURATION ?= 20s
 soak:
-	$(GO) run ./cmd/devsoak $(if $(PLANNED),--planned) --seed $(SEED) --count $(COUNT) --duration $(SOAK_DURATION)
+	$(GO) run ./cmd/devsoak $(if $(PLANNED),--planned) $(if $(REPLICAS),--replica-changes) --seed $(SEED) --count $(COUNT) --duration $(SOAK_DURATION)
 
 # Rewrites the measured tables of docs/CAPACITY.md; takes about 2 minutes.
 capacity:
--- a/cmd/devsoak/main.go
+++ b/cmd/devsoak/main.go
@@ -34,7 +34,7 @@
 	var duration time.Duration
 	var instances int
 	var binaries []string
-	var planned bool
+	var planned, replicaChanges bool
 	cmd := &cobra.Command{
 		Use:           "devsoak",
 		Short:         "Run the soak test: inject faults into real instances and check the guarantees",
@@ -49,6 +49,7 @@
 	cmd.Flags().DurationVar(&duration, "duration", 20*time.Second, "time during which faults are started")
 	cmd.Flags().IntVar(&instances, "instances", 4, "number of instances; above 16 they exchange states through collectors")
 	cmd.Flags().BoolVar(&planned, "planned", false, "planned work only: restarts, reloads, configurations, replaced members; checks that it cuts no statement")
+	cmd.Flags().BoolVar(&replicaChanges, "replica-changes", false, "replicas that join, leave, fall behind and restart empty, with primaries that are replaced or cut off and late promotions")
 	cmd.Flags().StringSliceVar(&binaries, "binary", nil, "builds of mulberrygate that the instances run in turn (default: the present sources)")
 	cmd.RunE = func(*cobra.Command, []string) error {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -56,7 +57,7 @@
 		if instances < 1 || instances > maxInstances {
 			return errors.Newf("--instances: %d is not between 1 and %d", instances, maxInstances)
 		}
-		return runAll(ctx, seed, count, soak.Options{Duration: duration, Instances: instances, Binaries: binaries, Planned: planned})
+		return runAll(ctx, seed, count, soak.Options{Duration: duration, Instances: instances, Binaries: binaries, Planned: planned, ReplicaChanges: replicaChanges})
 	}
 	return cmd
 }
@@ -89,8 +90,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
-		fmt.Printf("seed %d: %d operations served, %d failed, %d violations; logs in %s\n",
-			seed, result.Served, result.Failed, len(result.Violations), logs)
+		fmt.Printf("seed %d: %d operations served, %d failed, %d acknowledged commits lost, %d violations; logs in %s\n",
+			seed, result.Served, result.Failed, result.Lost, len(result.Violations), logs)
 		if result.Summary != "" {
 			fmt.Println("  " + result.Summary)
 		}
--- a/standin/stack/link.go
+++ b/standin/stack/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -46,6 +47,13 @@
 	return l.addToxic(`{"name":"freeze_` + stream + `","type":"timeout","stream":"` + stream + `","attributes":{"timeout":0}}`)
 }
 
+// FreezeShare freezes the given share of the connections, which are drawn one by one, as
+// between a server and a part of its clients.
+func (l *Link) FreezeShare(share float64) error {
+	return l.addToxic(`{"name":"freeze_share","type":"timeout","stream":"downstream","toxicity":` +
+		strconv.FormatFloat(share, 'f', -1, 64) + `,"attributes":{"timeout":0}}`)
+}
+
 // Reset resets each connection at the given time after its first data.
 func (l *Link) Reset(after time.Duration) error {
 	return l.addToxic(`{"name":"reset","type":"reset_peer","stream":"downstream","attributes":{"timeout":` + itoa(after.Milliseconds()) + `}}`)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -114,6 +114,8 @@
 		return s.replaceMember(member)
 	case PrimaryReplaced:
 		return s.replaceMember(s.group.Primary())
+	case ReplicaJoins, OrdersLate, ConnectionsFull, MemberLinkPartlyFrozen, PrimaryLeaving, ReplicaRestartsEmpty, ReplicaBehind:
+		return r.startReplicaFault(f, member)
 	}
 	return none, errors.Newf("unknown kind of fault %q", f.Kind)
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -68,6 +68,8 @@
 	// CopyAge is the age of the copy from which the store is restored, and RewriteDelay
 	// the time until the operators and the members have written again what it lacks.
 	CopyAge, RewriteDelay time.Duration
+	// ListingDelay is the time between the start of a replica and its entry.
+	ListingDelay time.Duration
 }
 
 func (f Fault) String() string {
@@ -165,16 +167,18 @@
 	switch f.Kind {
 	case InstanceKilled, InstancePaused, InstanceTerminated, InstanceReloaded:
 		return fmt.Sprintf("instance %d", f.Target)
-	case MemberLinkSlow, MemberLinkFrozen, MemberLinkOneWay, MemberLinkReset:
+	case MemberLinkSlow, MemberLinkFrozen, MemberLinkOneWay, MemberLinkReset, MemberLinkPartlyFrozen:
 		return fmt.Sprintf("link of member %d", f.Target)
 	case PeerLinkFrozen, PeerLinkOneWay:
 		return fmt.Sprintf("link of instance %d", f.Target)
-	case MemberUnresponsive, StoreLinkFrozen:
+	case MemberUnresponsive, StoreLinkFrozen, ReplicaBehind, ConnectionsFull:
 		return fmt.Sprintf("%s %d", f.Kind, f.Target)
 	case MemberReplaced, PrimaryReplaced:
 		return string(MemberReplaced)
 	case StoreRestored:
 		return string(StoreDown)
+	case ReplicaRestartsEmpty:
+		return string(MemberKilled)
 	default:
 		return string(f.Kind)
 	}
--- a/test/soak/planned.go
+++ b/test/soak/planned.go
@@ -106,9 +106,9 @@
 	r.run.mu.Unlock()
 	clients.Wait()
 	watch.Wait()
-	committed := r.cluster.group.CountCommits()
+	outcome := r.groupOutcome()
 	for _, c := range all {
-		r.compareWrites(c.writes, committed)
+		r.compareWrites(c.writes, outcome)
 	}
 	withoutAnswer := r.checkAnswers()
 	r.checkLogs()
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -50,6 +50,8 @@
 	Binaries []string
 	// Planned restricts the faults to planned work, and checks that it cuts no statement.
 	Planned bool
+	// ReplicaChanges draws the faults with ReplicaChanges instead of Plan.
+	ReplicaChanges bool
 	// Directory receives the settings and logs.
 	Directory string
 }
@@ -61,6 +63,8 @@
 	// Timeline lists the faults as injected.
 	Timeline       []string
 	Served, Failed int
+	// Lost is the number of acknowledged commits that were lost.
+	Lost int
 	// Summary holds the counts of a run with planned work only.
 	Summary string
 }
@@ -104,13 +108,18 @@
 	var err error
 	duty, scope := drawUsageDuty(o.Seed), drawServingScope(o.Seed)
 	r.result.Timeline = append(r.result.Timeline, "serving scope: "+scope.String())
-	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, clusterSettings{
+	plan := Plan
+	settings := clusterSettings{
 		duty: duty, scope: scope, gracePeriod: gracePeriod, maxConnections: maxConnections,
 		workspaces: []standin.Workspace{
 			{Name: "coop", Keys: []string{stableKey, revocableKey}, Rate: 10000, Burst: 10000},
 			{Name: "small", Keys: []string{smallKey}, Rate: smallRate, Burst: smallBurst},
 		},
-	})
+	}
+	if o.ReplicaChanges {
+		plan, settings.replicationLag, settings.promotionDelay = ReplicaChanges, replicationLag, promotionDelay
+	}
+	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, settings)
 	if r.cluster != nil {
 		defer r.cluster.close()
 	}
@@ -134,7 +143,7 @@
 	var watch sync.WaitGroup
 	watch.Go(r.watchProcesses)
 	watch.Go(r.watchStore)
-	err = r.inject(ctx, Plan(o.Seed, o.Duration, o.Instances))
+	err = r.inject(ctx, plan(o.Seed, o.Duration, o.Instances))
 	if err == nil && !r.awaitServing(recoveryTimeout) {
 		r.reportViolation("not all instances serve requests %s after the last fault", recoveryTimeout)
 	}
@@ -404,23 +413,27 @@
 // checkWrites compares the responses that clients received with the commits that the
 // group holds.
 func (r *run) checkWrites(all []*worker) {
-	committed := r.cluster.group.CountCommits()
+	outcome := r.groupOutcome()
+	r.result.Summary = outcome.summary()
 	for _, w := range all {
 		r.result.Served += w.served
 		r.result.Failed += w.failed
-		r.compareWrites(w.writes, committed)
+		r.compareWrites(w.writes, outcome)
 	}
 }
 
 // compareWrites compares the writes of one client with the commits of the group.
-func (r *run) compareWrites(writes map[standin.Commit]write, committed map[standin.Commit]int) {
+func (r *run) compareWrites(writes map[standin.Commit]write, group groupOutcome) {
+	committed := group.committed
 	for c, x := range writes {
 		n := committed[c]
 		switch {
 		case n > 1:
 			r.reportViolation("%s: %v was committed %d times", x.instance, c, n)
 		case x.outcome == done && n == 0:
-			r.reportViolation("%s: %v was acknowledged but is lost", x.instance, c)
+			p := group.discardedBy[c]
+			r.result.Lost++
+			r.reportViolation("%s: %v was acknowledged but is lost: %s was promoted in place of %s without it", x.instance, c, p.To, p.From)
 		case x.outcome == notApplied && n > 0:
 			r.reportViolation("%s: %v was committed, but its client received an error that excludes it", x.instance, c)
 		case x.other != nil && committed[*x.other] != n:
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -47,6 +47,16 @@
 	runOptions(t, soak.Options{Seed: 1, Duration: plannedRun, Planned: true})
 }
 
+// replicaChangesRun is the duration of the faults of TestShortRunOfReplicaChanges, which ends
+// after a promotion that is carried out six seconds late.
+const replicaChangesRun = 12 * time.Second
+
+// TestShortRunOfReplicaChanges guards against commits that are lost as a replica joins while the
+// primary is replaced late.
+func TestShortRunOfReplicaChanges(t *testing.T) {
+	runOptions(t, soak.Options{Seed: 4108, Duration: replicaChangesRun, ReplicaChanges: true})
+}
+
 func runSeed(t *testing.T, seed uint64, duration time.Duration, instances int) {
 	runOptions(t, soak.Options{Seed: seed, Duration: duration, Instances: instances})
 }
@@ -116,6 +126,21 @@
 	g.Expect(seen).To(HaveLen(len(soak.Kinds())))
 }
 
+// TestReplicaChangesHoldAllKinds guards against a kind of fault that is never drawn, and against
+// a seed that does not reproduce its faults.
+func TestReplicaChangesHoldAllKinds(t *testing.T) {
+	g := NewWithT(t)
+	seen := map[soak.Kind]bool{}
+	for seed := range uint64(200) {
+		changes := soak.ReplicaChanges(seed, time.Minute, 4)
+		g.Expect(changes).To(Equal(soak.ReplicaChanges(seed, time.Minute, 4)))
+		for _, f := range changes {
+			seen[f.Kind] = true
+		}
+	}
+	g.Expect(seen).To(HaveLen(len(soak.ReplicaKinds())))
+}
+
 // TestPlannedWorkIsPlanned guards against disruptions among the planned work, around which a
 // statement may be cut, and against plans that stop most instances at once or begin without a
 // stop.
--- a/test/soak/stack.go
+++ b/test/soak/stack.go
@@ -67,6 +67,8 @@
 	duty           usageDuty
 	scope          placement.ServingScope
 	gracePeriod    time.Duration
+	replicationLag time.Duration
+	promotionDelay time.Duration
 	maxConnections int
 	workspaces     []standin.Workspace
 }
@@ -108,8 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
-	group.ApplyDelay = replicaLag
+	group.ApplyDelay, group.ReplicationLag = replicaLag, settings.replicationLag
 	s := &cluster{directory: directory, store: standin.NewStore(), group: group, promotions: standin.NewPromotionServer(group), settings: settings}
+	s.promotions.SetDelay(settings.promotionDelay)
 	s.promotions.Usage.SetFencing(settings.duty.fencing)
 	s.config = standin.Config{Version: 1, Group: group.Name, MaxConnections: settings.maxConnections, Workspaces: settings.workspaces}
 	s.store.PutConfig(s.config)
@@ -188,7 +191,9 @@
 
 func (s *cluster) registerMember(m *standin.Member, state string) {
 	entry := m.Entry(state)
-	entry["address"] = s.links[slices.Index(s.group.Members(), m)].Addr()
+	if i := slices.Index(s.group.Members(), m); i >= 0 && i < len(s.links) {
+		entry["address"] = s.links[i].Addr() // members that join have no link
+	}
 	s.store.Put("servers", m.ID, entry)
 }
 
