Keep the commit fence until its promotion has an outcome

It is renewed on every round of a change while a promotion may be carried out. - A change without a known primary set a fence of no member, which covered nothing, counted as complete and replaced a fence that stood. It sets none, and instances refuse one. - Calls had no order, and a late one could end or replace a newer fence. They carry the fencing token and a number that grows; ending is a field of its own, no longer a duration of 0. - settleCommit passed on an answer that was first looked at after the fence had expired, one of an earlier term once the former primary led again, and one whose successor's process had been replaced. - A fence did not end at an instance that had just found out that the former primary does not lead, so that a held answer was lost. - Held answers woke all queued requests of the group every 20 ms, and writes went on to a primary whose successor receives nothing. They have a channel of their own, and such writes wait as without a successor. - The ID of a connection's member was read without the lock.

--- a/core/promotion/commitfence.go
+++ b/core/promotion/commitfence.go
@@ -15,26 +15,47 @@
 // The zero value covers no member.
 type CommitFence struct {
 	member, successor string
-	id                uint64
+	order             FenceOrder
 	until             time.Time
 }
 
-// Set makes the fence cover the member, and no other one, until the given time. successor is
-// the member whose log decides, or "" if no commit may be acknowledged.
-func (f *CommitFence) Set(member, successor string, id uint64, until time.Time) {
-	*f = CommitFence{member: member, successor: successor, id: id, until: until}
+// FenceOrder orders the calls that set and end fences: by the fencing token of the holder of
+// the promotion lease, and by a number that grows with each call of the holder.
+type FenceOrder struct{ Token, Call uint64 }
+
+// Precedes reports whether a call was made before another one.
+func (o FenceOrder) Precedes(other FenceOrder) bool {
+	return o.Token < other.Token || (o.Token == other.Token && o.Call < other.Call)
 }
 
-// End removes the fence of the member if it has the given ID, or any ID if that is 0. It
-// reports whether there was one.
-func (f *CommitFence) End(member string, id uint64) bool {
-	if f.member == "" || f.member != member || (id != 0 && id != f.id) {
+// Set makes the fence cover the member, and no other one, until the given time. successor is
+// the member whose log decides, or "" if no commit may be acknowledged. It returns false, and
+// changes nothing, if a later call has been made.
+func (f *CommitFence) Set(member, successor string, order FenceOrder, until time.Time) bool {
+	if order.Precedes(f.order) {
 		return false
 	}
-	*f = CommitFence{}
+	*f = CommitFence{member: member, successor: successor, order: order, until: until}
 	return true
 }
 
+// End removes the fence unless a later call has been made. It reports whether there was one.
+func (f *CommitFence) End(order FenceOrder) bool {
+	if order.Precedes(f.order) {
+		return false
+	}
+	stood := f.member != ""
+	*f = CommitFence{order: order}
+	return stood
+}
+
+// EndUnless removes the fence of a member that another one has replaced as the primary.
+func (f *CommitFence) EndUnless(primary string) {
+	if f.member != primary {
+		*f = CommitFence{order: f.order}
+	}
+}
+
 // Covers reports whether acknowledgements of the member are kept back.
 func (f *CommitFence) Covers(member string, now time.Time) bool {
 	return f.member != "" && f.member == member && now.Before(f.until)
@@ -50,10 +71,10 @@
 // Remaining returns how long the fence stands unless it is renewed.
 func (f *CommitFence) Remaining(now time.Time) time.Duration { return max(f.until.Sub(now), 0) }
 
-// HasExpired reports whether the fence of the member has run out without being ended. What
-// has become of the promotion is not known then.
-func (f *CommitFence) HasExpired(member string, now time.Time) bool {
-	return f.member != "" && f.member == member && !now.Before(f.until)
+// ExpiredAfter reports whether the fence of the member has run out, without being ended, after
+// a commit was sent. What has become of the promotion is not known then.
+func (f *CommitFence) ExpiredAfter(member string, sent, now time.Time) bool {
+	return f.member != "" && f.member == member && !now.Before(f.until) && sent.Before(f.until)
 }
 
 // SurvivesPromotion reports whether a commit of an earlier term is in the log of a primary
--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -96,6 +96,7 @@
 	}
 	c.resumeUnlessOrdered() // those that a former change left paused
 	for ctx.Err() == nil {
+		c.renewFence(ctx)
 		// Replicas that are paused under an outdated claim would be left paused.
 		if _, ok := c.controller.awaitDuty(ctx); !ok {
 			c.log().WithError(errNotDutyHolder).Info("change of primary abandoned")
@@ -398,6 +399,7 @@
 func (c *primaryChange) orderPromotion(ctx context.Context, successor Member) (bool, error) {
 	provenAt := time.Now()
 	for ctx.Err() == nil {
+		c.renewFence(ctx)
 		duty, ok := c.awaitTokenFor(ctx, successor.ID)
 		if !ok {
 			return false, errNotDutyHolder
@@ -444,6 +446,7 @@
 	ctx, cancel := context.WithTimeout(ctx, becomePrimaryTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
+		c.renewFence(ctx)
 		status, err := c.pool.controlCall(ctx, successor, statement.Statement{Kind: statement.Status})
 		if err == nil && status.Role == group.Primary {
 			c.pool.mu.Lock()
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -19,6 +19,9 @@
 	// becomePrimaryTimeout and the time in which another instance takes over from a holder of
 	// the promotion lease that ends, and bounds how long commits wait if none does.
 	commitFenceDuration = 6 * time.Second
+	// commitFenceRenewal is the age from which on a fence is renewed while its order has no
+	// outcome.
+	commitFenceRenewal = commitFenceDuration / 3
 	// commitFenceTimeout bounds the calls that set a commit fence at all instances.
 	commitFenceTimeout = peerTimeout
 	// successorPollInterval is the delay between two questions to the successor for its log
@@ -29,7 +32,9 @@
 // orderedFence is the commit fence that the holder of the promotion lease has set for a
 // change; the zero value if there is none.
 type orderedFence struct {
-	id uint64
+	stands    bool
+	successor string
+	setAt     time.Time
 	// instances is how many instances have confirmed the fence.
 	instances int
 }
@@ -43,31 +48,48 @@
 	if duty, _, _ := ps.dutyHolder(); revision.Revision(r.DutyToken) < duty.Token {
 		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "instance %s holds the promotion duty", duty.Holder)
 	}
+	order := promotion.FenceOrder{Token: r.DutyToken, Call: r.Call}
+	if r.End {
+		p.endCommitFence(order)
+		return &pb.FenceCommitsResponse{}, nil
+	}
+	if r.Member == "" || r.DurationMs <= 0 {
+		return nil, twirp.InvalidArgumentError("member", "a fence needs a member and a duration")
+	}
 	milliseconds := min(r.DurationMs, commitFenceDuration.Milliseconds())
-	acknowledged := p.fenceCommits(r.Member, r.Successor, r.Fence, time.Duration(milliseconds)*time.Millisecond)
+	acknowledged, ok := p.fenceCommits(r.Member, r.Successor, order, time.Duration(milliseconds)*time.Millisecond)
+	if !ok {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "a later call has set or ended the fence")
+	}
 	return &pb.FenceCommitsResponse{AcknowledgedTerm: acknowledged.Term, AcknowledgedIndex: acknowledged.Index}, nil
 }
 
-// fenceCommits keeps back acknowledgements of the member for the duration, or ends that if it
-// is 0. It returns the highest position that the instance knows to be acknowledged.
-func (p *pool) fenceCommits(member, successor string, id uint64, duration time.Duration) group.Position {
+// fenceCommits keeps back acknowledgements of the member for the duration. It returns the
+// highest position that the instance knows to be acknowledged, or false if a later call has set
+// or ended the fence.
+func (p *pool) fenceCommits(member, successor string, order promotion.FenceOrder, duration time.Duration) (group.Position, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if duration <= 0 {
-		if p.fence.End(member, id) {
-			p.notifyMembersChanged()
-			p.dispatch()
-		}
-		return p.acknowledged
+	isNew := !p.fence.Covers(member, now) || p.fence.Successor() != successor
+	if !p.fence.Set(member, successor, order, now.Add(duration)) {
+		return group.Position{}, false
 	}
-	if !p.fence.Covers(member, now) || p.fence.Successor() != successor {
-		p.successorLog = group.Position{}
-		defer p.notifyMembersChanged() // queued writes choose again
+	p.successorLog, p.heldSince = group.Position{}, time.Time{}
+	if isNew {
+		p.notifyMembersChanged() // queued writes choose again
 	}
-	p.fence.Set(member, successor, id, now.Add(duration))
 	time.AfterFunc(duration, p.noteFenceExpiry)
-	return p.acknowledged
+	return p.acknowledged, true
+}
+
+func (p *pool) endCommitFence(order promotion.FenceOrder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fence.End(order) {
+		p.notifyMembersChanged()
+		p.dispatch()
+	}
 }
 
 // noteFenceExpiry wakes the requests that wait for the end of a fence that has expired.
@@ -87,13 +109,15 @@
 }
 
 // takesCommits reports whether commits may be sent to the member: it is not fenced, or its
-// successor can be asked which commits it has received. The caller holds p.mu.
+// successor can be asked which commits it has received, and receives some. The caller holds
+// p.mu.
 func (p *pool) takesCommits(member string, now time.Time) bool {
 	if !p.fence.Covers(member, now) {
 		return true
 	}
 	successor := p.members[p.fence.Successor()]
-	return successor != nil && !successor.down
+	receives := p.heldSince.IsZero() || now.Sub(p.heldSince) < commitStallTimeout
+	return successor != nil && !successor.down && receives
 }
 
 // mayCommitAt is takesCommits for callers that do not hold p.mu.
@@ -124,26 +148,43 @@
 	if p.interrupted || ctx.Err() != nil || !now.Before(deadline) {
 		return false
 	}
-	p.waitForMembersChange(ctx, min(deadline.Sub(now), p.fence.Remaining(now)+time.Millisecond))
+	changed := p.fenceChanged
+	wait := min(deadline.Sub(now), p.fence.Remaining(now)+time.Millisecond)
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	return true
 }
 
-// settleCommit records a commit that the member acknowledged, and returns an error if a
-// promotion may have discarded it. While the member is fenced, it waits until the successor
-// has the commit, or for the outcome of the promotion.
-func (p *pool) settleCommit(ctx context.Context, member string, at group.Position, deadline time.Time) error {
+// notifyFenceChanged wakes the commits whose answers are held back. The caller holds p.mu.
+func (p *pool) notifyFenceChanged() {
+	close(p.fenceChanged)
+	p.fenceChanged = make(chan struct{})
+}
+
+// settleCommit records a commit that was sent to the member at a time and that it acknowledged,
+// and returns an error if a promotion may have discarded it. While the member is fenced, it
+// waits until the successor has the commit, or for the outcome of the promotion.
+func (p *pool) settleCommit(ctx context.Context, member string, at group.Position, sent, deadline time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held := false
-	for now := time.Now(); p.fence.Covers(member, now) && at.Compare(p.successorLog) > 0; now = time.Now() {
-		held = true
+	for now := time.Now(); p.fence.Covers(member, now) && (at.IsZero() || at.Compare(p.successorLog) > 0); now = time.Now() {
+		if p.heldSince.IsZero() {
+			p.heldSince = now
+		}
 		p.pollSuccessor()
 		if !p.waitForFence(ctx, now, deadline) {
 			return unknownCommitError(member)
 		}
 	}
-	replaced := p.primary != member && at.Term < p.term
-	if (replaced && !promotion.SurvivesPromotion(at, p.promotedAt)) || (held && p.fence.HasExpired(member, time.Now())) {
+	isReplaced := p.primary != member || (at.Term < p.term && !at.IsZero())
+	if (isReplaced && !promotion.SurvivesPromotion(at, p.promotedAt)) || p.fence.ExpiredAfter(member, sent, time.Now()) {
 		return unknownCommitError(member)
 	}
 	p.noteCommit(at)
@@ -158,19 +199,21 @@
 		return
 	}
 	p.pollingSuccessor = true
+	id := p.fence.Successor()
 	go func() {
 		status, err := p.askStatus(successor, time.Now().Add(leadershipTimeout))
 		p.mu.Lock()
 		// A successor that leads already counts positions of its own term.
-		if err == nil && status.Role == group.Replica && p.fence.Successor() == successor.ID && status.Received.Compare(p.successorLog) > 0 {
-			p.successorLog = status.Received
-			p.notifyMembersChanged()
+		isCurrent := p.members[id] == successor && p.fence.Successor() == id
+		if err == nil && status.Role == group.Replica && isCurrent && status.Received.Compare(p.successorLog) > 0 {
+			p.successorLog, p.heldSince = status.Received, time.Time{}
+			p.notifyFenceChanged()
 		}
 		p.mu.Unlock()
 		time.Sleep(successorPollInterval)
 		p.mu.Lock()
 		p.pollingSuccessor = false
-		p.notifyMembersChanged() // commits that still wait ask again
+		p.notifyFenceChanged() // commits that still wait ask again
 		p.mu.Unlock()
 	}()
 }
@@ -179,50 +222,70 @@
 	return verdict.New(verdict.MayHaveRun, verdict.OutcomeUnknown, "member %s was replaced as it acknowledged the commit", member)
 }
 
+// fenceCalls numbers the calls that set and end fences. It begins with the time, so that the
+// calls of a process follow those of the one before.
+var fenceCalls atomic.Uint64
+
+func init() { fenceCalls.Store(uint64(time.Now().UnixNano())) }
+
 // fenceCommits sets a commit fence at all instances and notes the positions that they know to
 // be acknowledged. If it returns true, each instance that may have acknowledged a commit of
 // the primary has answered, and acknowledges no later one that the successor lacks. Without a
-// successor they acknowledge none.
+// successor they acknowledge none. Nothing can be fenced if the primary is not known.
 func (c *primaryChange) fenceCommits(ctx context.Context, successor string) bool {
-	fence := &c.orders.fence
-	fence.id = rand.Uint64()
-	positions, allAnswered := c.callFence(ctx, successor, fence.id, commitFenceDuration)
+	if c.primary == "" {
+		return false
+	}
+	c.orders.fence = orderedFence{stands: true, successor: successor, setAt: time.Now()}
+	positions, allAnswered := c.callFence(ctx, &pb.FenceCommitsRequest{Successor: successor, DurationMs: commitFenceDuration.Milliseconds()})
 	for _, at := range positions {
 		c.noteAcknowledged(at)
 	}
-	fence.instances = len(positions)
+	c.orders.fence.instances = len(positions)
 	return allAnswered && c.controller.gw.peers.unreported(time.Now()) == ""
 }
 
-// endFence lets the instances send commits to the primary again. With any set, it also ends
+// renewFence sets the fence again while a promotion may be carried out, before it lapses.
+func (c *primaryChange) renewFence(ctx context.Context) {
+	if f := c.orders.fence; c.orders.pending && f.stands && time.Since(f.setAt) > commitFenceRenewal {
+		c.fenceCommits(ctx, f.successor)
+	}
+}
+
+// endFence lets the instances send commits to the primary again. If force is set, it also ends
 // the fences of former holders of the promotion lease.
-func (c *primaryChange) endFence(any bool) {
-	id := c.orders.fence.id
-	c.orders.fence = orderedFence{}
-	switch {
-	case any:
-		c.callFence(context.Background(), "", 0, 0)
-	case id != 0:
-		c.callFence(context.Background(), "", id, 0)
+func (c *primaryChange) endFence(force bool) {
+	if !c.orders.fence.stands && !force {
+		return
 	}
+	c.orders.fence = orderedFence{}
+	c.callFence(context.Background(), &pb.FenceCommitsRequest{End: true})
 }
 
-// callFence sets a fence at all instances, or ends it if the duration is 0. It returns the
+// callFence makes a call to set or end a fence of the primary at all instances. It returns the
 // positions that they know to be acknowledged, and whether all of them have answered.
-func (c *primaryChange) callFence(ctx context.Context, successor string, id uint64, duration time.Duration) ([]group.Position, bool) {
+func (c *primaryChange) callFence(ctx context.Context, request *pb.FenceCommitsRequest) ([]group.Position, bool) {
 	ctx, cancel := context.WithTimeout(ctx, commitFenceTimeout)
 	defer cancel()
-	duty, _, _ := c.controller.gw.peers.dutyHolder()
-	request := &pb.FenceCommitsRequest{
-		Group: c.pool.name, Member: c.primary, Fence: id, DurationMs: duration.Milliseconds(), Successor: successor, DutyToken: uint64(duty.Token),
+	peers := c.controller.gw.peers
+	duty, _, _ := peers.dutyHolder()
+	request.Group, request.Member, request.DutyToken, request.Call = c.pool.name, c.primary, uint64(duty.Token), fenceCalls.Add(1)
+	order := promotion.FenceOrder{Token: request.DutyToken, Call: request.Call}
+	var positions []group.Position
+	ownAnswered := true
+	if request.End {
+		c.pool.endCommitFence(order)
+	} else {
+		var own group.Position
+		own, ownAnswered = c.pool.fenceCommits(c.primary, request.Successor, order, commitFenceDuration)
+		positions = append(positions, own)
 	}
-	own := c.pool.fenceCommits(c.primary, successor, id, duration)
-	positions, allAnswered := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (group.Position, error) {
+	answers, allAnswered := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (group.Position, error) {
 		r, err := client.FenceCommits(ctx, request)
 		if err != nil {
 			return group.Position{}, err
 		}
 		return group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}, nil
 	})
-	return append(positions, own), allAnswered
+	return append(positions, answers...), allAnswered && ownAnswered
 }
--- a/pkg/gateway/commitfence_test.go
+++ b/pkg/gateway/commitfence_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
@@ -18,15 +19,17 @@
 		p.members[id] = &poolMember{Member: Member{ID: id, Group: "g"}}
 	}
 	p.primary, p.term = "former", 1
-	p.fenceCommits("former", "", 1, time.Minute)
+	p.fenceCommits("former", "", call(1), time.Minute)
 	return p
 }
 
+func call(n uint64) promotion.FenceOrder { return promotion.FenceOrder{Token: 5, Call: n} }
+
 // settle starts to settle a commit that the former primary acknowledged in the first term.
 func settle(p *pool, index uint64, wait time.Duration) chan error {
-	out := make(chan error, 1)
+	out, sent := make(chan error, 1), time.Now()
 	go func() {
-		out <- p.settleCommit(context.Background(), "former", group.Position{Term: 1, Index: index}, time.Now().Add(wait))
+		out <- p.settleCommit(context.Background(), "former", group.Position{Term: 1, Index: index}, sent, time.Now().Add(wait))
 	}()
 	return out
 }
@@ -53,10 +56,12 @@
 	g := NewWithT(t)
 	p := fencedPool()
 	answer := settle(p, 5, time.Minute)
-	p.fenceCommits("former", "", 2, time.Minute) // renewed
-	p.fenceCommits("former", "", 1, 0)
-	g.Consistently(answer, 50*time.Millisecond).ShouldNot(Receive(), "a message that ends an older fence is late")
-	p.fenceCommits("former", "", 2, 0)
+	p.fenceCommits("former", "", call(3), time.Minute) // renewed
+	p.endCommitFence(call(2))
+	_, ok := p.fenceCommits("former", "other", promotion.FenceOrder{Token: 4, Call: 9}, time.Minute)
+	g.Expect(ok).To(BeFalse(), "a former holder's call is late")
+	g.Consistently(answer, 50*time.Millisecond).ShouldNot(Receive(), "a call that ends an older fence is late")
+	p.endCommitFence(call(4))
 	g.Eventually(answer).Should(Receive(BeNil()))
 	_, _, _, acknowledged := p.snapshot()
 	g.Expect(acknowledged).To(Equal(group.Position{Term: 1, Index: 5}))
@@ -67,7 +72,7 @@
 func TestCommitsBehindAFenceThatExpiresHaveAnUnknownOutcome(t *testing.T) {
 	g := NewWithT(t)
 	p := fencedPool()
-	p.fenceCommits("former", "", 2, 40*time.Millisecond)
+	p.fenceCommits("former", "", call(2), 40*time.Millisecond)
 	var err error
 	g.Eventually(settle(p, 5, time.Minute)).Should(Receive(&err))
 	g.Expect(verdict.FromError(err).Verdict).To(Equal(verdict.MayHaveRun))
@@ -108,10 +113,10 @@
 	g := NewWithT(t)
 	a := newTestInstance("a", &dutyStore{})
 	p := fencedPool()
-	p.fenceCommits("former", "", 0, 0)
+	p.endCommitFence(call(2))
 	a.pools["g"] = p
 	a.peers.updateDuty(Duty{Holder: "b", Token: 5})
-	request := &pb.FenceCommitsRequest{Group: "g", Member: "former", Fence: 1, DurationMs: 1 << 60, DutyToken: 4}
+	request := &pb.FenceCommitsRequest{Group: "g", Member: "former", Call: 3, DurationMs: 1 << 60, DutyToken: 4}
 	_, err := a.peers.FenceCommits(context.Background(), request)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(p.fence.Covers("former", time.Now())).To(BeFalse())
@@ -120,3 +125,50 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.fence.Remaining(time.Now())).To(BeNumerically("~", commitFenceDuration, time.Second))
 }
+
+// Guards against answers that are held back, and then lost, at an instance that has found out
+// that the former primary does not lead before it learns of the successor.
+func TestAFenceEndsThoughThePrimaryIsNotKnown(t *testing.T) {
+	g := NewWithT(t)
+	p := fencedPool()
+	kept := settle(p, 5, time.Minute)
+	p.mu.Lock()
+	p.primary = ""
+	p.setPrimary("successor", 2)
+	p.promotedAt = group.Position{Term: 1, Index: 5}
+	p.mu.Unlock()
+	g.Eventually(kept).Should(Receive(BeNil()))
+}
+
+// Guards against acknowledgements that are first looked at after the fence has expired, or once
+// the former primary leads again in a later term.
+func TestCommitsFromBeforeAPromotionHaveAnUnknownOutcome(t *testing.T) {
+	g := NewWithT(t)
+	p := fencedPool()
+	sent := time.Now()
+	settleAt := func(at group.Position, sent time.Time) error {
+		return p.settleCommit(context.Background(), "former", at, sent, time.Now().Add(time.Minute))
+	}
+	p.fenceCommits("former", "", call(2), 20*time.Millisecond)
+	time.Sleep(40 * time.Millisecond)
+	g.Expect(settleAt(group.Position{Term: 1, Index: 6}, sent)).To(HaveOccurred())
+	g.Expect(settleAt(group.Position{Term: 1, Index: 7}, time.Now())).To(Succeed())
+	p.mu.Lock()
+	p.setPrimary("successor", 2)
+	p.setPrimary("former", 3)
+	p.mu.Unlock()
+	g.Expect(settleAt(group.Position{Term: 1, Index: 8}, time.Now())).To(HaveOccurred())
+	g.Expect(settleAt(group.Position{Term: 3, Index: 9}, time.Now())).To(Succeed())
+}
+
+// Guards against a fence of no member, which keeps nothing back and would replace one that does.
+func TestAFenceNeedsAMember(t *testing.T) {
+	g := NewWithT(t)
+	a := newTestInstance("a", &dutyStore{})
+	a.pools["g"] = fencedPool()
+	_, err := a.peers.FenceCommits(context.Background(), &pb.FenceCommitsRequest{Group: "g", Call: 9, DurationMs: 1000, DutyToken: 5})
+	g.Expect(err).To(HaveOccurred())
+	c := &primaryChange{controller: a.controller, pool: a.pools["g"]}
+	g.Expect(c.fenceCommits(context.Background(), "")).To(BeFalse())
+	g.Expect(a.pools["g"].mayCommitAt("former")).To(BeFalse())
+}
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	m.noteAnswer(time.Now())
-	c := &pooledConn{MemberConn: conn, member: m, workspace: req.workspace, prepared: map[string]bool{}, charged: g.charged, priority: g.priority}
+	c := &pooledConn{MemberConn: conn, member: m, memberID: m.ID, workspace: req.workspace, prepared: map[string]bool{}, charged: g.charged, priority: g.priority}
 	if p.members[m.ID] != m || m.down {
 		m.open--
 		conn.Close()
--- a/pkg/gateway/controlconn.go
+++ b/pkg/gateway/controlconn.go
@@ -125,7 +125,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &pooledConn{MemberConn: opened, member: m, workspace: controlWorkspace, unpooled: true}, nil
+	return &pooledConn{MemberConn: opened, member: m, memberID: entry.ID, workspace: controlWorkspace, unpooled: true}, nil
 }
 
 // openControlConn opens a connection for a control call, unless the member has just refused
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -137,17 +137,17 @@
 		if err != nil {
 			return statement.Reply{}, err
 		}
-		if !p.mayCommitAt(conn.member.ID) {
+		if !p.mayCommitAt(conn.memberID) {
 			p.release(conn, true)
 			continue // the next one is acquired once the fence has ended
 		}
 		op.rec.noteAttempt(conn)
-		asked := bootTime()
+		asked, sentAt := bootTime(), time.Now()
 		reply, sent, err := s.send(conn, p, op.Statement, op.deadline)
 		switch {
 		case err == nil && reply.Err == nil:
 			p.release(conn, true)
-			if err := s.settleCommit(ctx, conn, p, reply.Position, op.deadline); err != nil {
+			if err := s.settleCommit(ctx, conn, p, reply.Position, sentAt, op.deadline); err != nil {
 				return statement.Reply{}, err
 			}
 			p.recordLeadership(conn, asked, reply.Position)
@@ -189,8 +189,8 @@
 
 // settleCommit records the position of an acknowledged commit of this session, or returns an
 // error if the commit may have been discarded.
-func (s *session) settleCommit(ctx context.Context, conn *pooledConn, p *pool, at group.Position, deadline time.Time) error {
-	if err := p.settleCommit(ctx, conn.member.ID, at, deadline); err != nil {
+func (s *session) settleCommit(ctx context.Context, conn *pooledConn, p *pool, at group.Position, sent, deadline time.Time) error {
+	if err := p.settleCommit(ctx, conn.memberID, at, sent, deadline); err != nil {
 		return err
 	}
 	s.commits.Record(p.name, at)
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -85,6 +85,10 @@
 	// pollingSuccessor is set while it is asked.
 	successorLog     group.Position
 	pollingSuccessor bool
+	// heldSince is since when answers to commits are held back without any progress of the
+	// successor, and fenceChanged is closed when they are to look again.
+	heldSince    time.Time
+	fenceChanged chan struct{}
 	// promotedAt is a position that the primary had received when its promotion was ordered;
 	// zero if it is not known.
 	promotedAt group.Position
@@ -165,7 +169,9 @@
 // pooledConn is a connection that belongs to one workspace.
 type pooledConn struct {
 	MemberConn
-	member     *poolMember
+	member *poolMember
+	// memberID is the ID of member, whose entry may change.
+	memberID   string
 	workspace  string
 	settings   map[string]string
 	prepared   map[string]bool
@@ -243,7 +249,7 @@
 func newPool(name, zone string, dialer Dialer, instances *peers, onEvent func(poolEvent)) *pool {
 	p := &pool{
 		name: name, zone: zone, dialer: dialer, instances: instances, onEvent: onEvent,
-		members: map[string]*poolMember{}, removed: map[*poolMember]struct{}{}, membersChanged: make(chan struct{}),
+		members: map[string]*poolMember{}, removed: map[*poolMember]struct{}{}, membersChanged: make(chan struct{}), fenceChanged: make(chan struct{}),
 		queue: admission.NewQueue(0), waiters: map[uint64]*waiter{}, targets: map[string]targetReport{}, servingInstances: 1, inServingSet: true,
 		meanHoldTime: 20 * time.Millisecond,
 	}
@@ -258,6 +264,7 @@
 func (p *pool) notifyMembersChanged() {
 	close(p.membersChanged)
 	p.membersChanged = make(chan struct{})
+	p.notifyFenceChanged()
 }
 
 // backOffReads makes reads skip a replica that did not answer one
@@ -331,9 +338,7 @@
 		if p.fence.Successor() == id {
 			p.promotedAt = p.successorLog
 		}
-		if former != nil {
-			p.fence.End(former.ID, 0)
-		}
+		p.fence.EndUnless(id)
 	}
 	p.primary, p.term, p.primaryChanging = id, term, false
 	if m := p.members[id]; m.pace != nil && (former == nil || former.ID != id) {
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -63,7 +63,7 @@
 
 // noteAttempt records the member to which the statement is sent.
 func (r *requestRecord) noteAttempt(c *pooledConn) {
-	r.member = c.member.ID
+	r.member = c.memberID
 	r.attempts++
 }
 
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -77,13 +77,14 @@
 			return statement.Reply{}, err
 		}
 	}
-	if st.Kind == statement.Commit && tx.hasWritten && !tx.pool.awaitCommitsAt(ctx, tx.conn.member.ID, deadline) {
-		member := tx.conn.member.ID
+	if st.Kind == statement.Commit && tx.hasWritten && !tx.pool.awaitCommitsAt(ctx, tx.conn.memberID, deadline) {
+		member := tx.conn.memberID
 		s.endAfterError(st)
 		return statement.Reply{}, verdict.New(verdict.NotRun, verdict.TransactionAborted, "member %s is being replaced; the transaction is rolled back", member)
 	}
 	rec.noteAttempt(tx.conn)
 	tx.hasWritten = tx.hasWritten || s.isWrite(st)
+	sentAt := time.Now()
 	reply, sent, err := s.sendInTransaction(st, deadline)
 	if err != nil {
 		return statement.Reply{}, s.handleLostAnswer(st, sent, err)
@@ -92,7 +93,7 @@
 		return statement.Reply{}, s.handleMemberError(st, reply)
 	}
 	if st.Kind == statement.Commit {
-		if err := s.finishCommit(ctx, reply, deadline); err != nil {
+		if err := s.finishCommit(ctx, reply, sentAt, deadline); err != nil {
 			return statement.Reply{}, err
 		}
 	} else {
@@ -111,14 +112,14 @@
 }
 
 // finishCommit releases the connection after a successful commit and records the commit.
-func (s *session) finishCommit(ctx context.Context, reply statement.Reply, deadline time.Time) error {
+func (s *session) finishCommit(ctx context.Context, reply statement.Reply, sent, deadline time.Time) error {
 	tx := s.tx
 	s.tx, s.state = nil, statement.Idle
 	tx.pool.release(tx.conn, true)
 	if !tx.hasWritten {
 		return nil
 	}
-	return s.settleCommit(ctx, tx.conn, tx.pool, reply.Position, deadline)
+	return s.settleCommit(ctx, tx.conn, tx.pool, reply.Position, sent, deadline)
 }
 
 // beginAtMember acquires a connection and begins the transaction on it,
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -163,6 +163,7 @@
 	if !c.orders.pending && !c.orders.unchecked {
 		return false
 	}
+	c.renewFence(ctx)
 	members, primary, _, _ := c.pool.snapshot()
 	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
 		return statement.Statement{Kind: statement.Status}, m.ID != c.primary || c.asksPrimary()
--- a/pkg/gateway/update.go
+++ b/pkg/gateway/update.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/placement"
 )
 
@@ -40,6 +41,9 @@
 			if !isNew {
 				p.removeMember(m)
 			}
+			if p.fence.Successor() == next.ID {
+				p.successorLog = group.Position{} // of the process before
+			}
 			m = &poolMember{Member: next, listedAt: now, sinceFirstStart: isNew && isFirstStart, idle: map[string][]*pooledConn{}, running: map[*pooledConn]struct{}{}}
 			p.members[next.ID] = m
 			changed = true
