Acknowledge no commits while another member may be promoted first

Cause: an order for orders-1 had no answer; after 2 s without a proof the change looked for another successor, orders-4, whose log then decided which commits were acknowledged. The first order was carried out after all.

Change: nobody decides while an order without an answer is for another member, so that no commit is acknowledged until the newer order has voided it.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -308,10 +308,12 @@
 // fence: the successor if the primary presumably works and all known replicas but the successor
 // are paused, so that it receives the commits. Otherwise nobody does, and writes wait for the
 // new primary rather than end with an unknown outcome. An order without an answer can take
-// seconds, for which writes should not wait.
+// seconds, for which writes should not wait, unless it is for another member: that one may
+// lead first, and lack what the successor has.
 func (c *primaryChange) decidingMember(successor Member, candidates []promotion.Member) string {
 	mayWork := c.reason.IsPlanned() || (c.orders.pending && c.reason != promotion.CutOff)
-	if mayWork && promotion.MayPromote(successor.ID, candidates, c.primary, promotion.Knowledge{Acknowledged: c.acknowledged}) {
+	otherOrdered := c.orders.unanswered != "" && c.orders.unanswered != successor.ID
+	if mayWork && !otherOrdered && promotion.MayPromote(successor.ID, candidates, c.primary, promotion.Knowledge{Acknowledged: c.acknowledged}) {
 		return successor.ID
 	}
 	return ""
