--- a/pkg/gateway/unseen_replica_test.go
+++ b/pkg/gateway/unseen_replica_test.go
@@ -157,6 +157,31 @@
 		Entry("for ten seconds, as the primary is leaving", leaving, 10*time.Second),
 	)
 
+	// Guards against a commit fence that lapses while the order is still on its way, since the
+	// holder of the promotion lease cannot ask the successor any more.
+	DescribeTable("keeps such commits if the holder of the promotion lease loses contact with the replicas",
+		func(reason replacement) {
+			d := newDutyDeployment()
+			former := d.group.Primary()
+			w := startWriters(d)
+			Eventually(w.count, eventualTimeout, pollInterval).Should(BeNumerically(">", 20))
+			d.promotions.LoseOrders(true)
+			reason.begin(d)
+			Eventually(d.promotions.LostOrders, eventualTimeout, pollInterval).ShouldNot(BeEmpty())
+			stopReplicas(d)
+			join(d)
+			for _, m := range d.group.Members()[1:3] {
+				d.instances[0].members.cutOff(m.ID)
+			}
+			time.Sleep(10 * time.Second)
+			d.promotions.CarryOut(func(standin.LostOrder) bool { return true })
+			Expect(d.group.Primary().ID).NotTo(Equal(former.ID), "the order is carried out")
+			Expect(w.lost(d)).To(BeZero(), lostMessage)
+		},
+		Entry("as a part of the instances cannot reach the primary", partlyUnreachable),
+		Entry("as the primary is leaving", leaving),
+	)
+
 	// Guards against counting the replicas that answer now, although one that has acknowledged
 	// commits has lost its log. The holder of the promotion lease does not hear of the commits.
 	It("waits for a dark primary that has the only copy of commits since a replica restarted without its log", func() {
