Do not rely on a successor's log across two promotions

Cause: an answer that the fence held back was passed on, since the new primary had received the commit when its promotion was ordered. Another member had been promoted in between, by a late order, and had cut the new primary's log.

Change: the successor's log at its order counts only if it leads in the term that follows the commit's.

Evidence: TestCommitsMayBeLostIfAnotherMemberHasLedInBetween failed before.

--- a/core/promotion/commitfence.go
+++ b/core/promotion/commitfence.go
@@ -77,8 +77,9 @@
 	return f.member != "" && f.member == member && !now.Before(f.until) && sent.Before(f.until)
 }
 
-// SurvivesPromotion reports whether a commit of an earlier term is in the log of a primary
-// that had received the log up to promoted when its promotion was ordered.
-func SurvivesPromotion(commit, promoted group.Position) bool {
-	return commit.Term == promoted.Term && commit.Index <= promoted.Index
+// SurvivesPromotion reports whether a commit is in the log of a primary that leads in a term and
+// had received the log up to promoted when its promotion was ordered. Another member that led
+// in a term between may have lacked the commit.
+func SurvivesPromotion(commit, promoted group.Position, term uint64) bool {
+	return commit.Term == promoted.Term && commit.Index <= promoted.Index && term == commit.Term+1
 }
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -184,7 +184,7 @@
 		}
 	}
 	isReplaced := p.primary != member || (at.Term < p.term && !at.IsZero())
-	if (isReplaced && !promotion.SurvivesPromotion(at, p.promotedAt)) || p.fence.ExpiredAfter(member, sent, time.Now()) {
+	if (isReplaced && !promotion.SurvivesPromotion(at, p.promotedAt, p.term)) || p.fence.ExpiredAfter(member, sent, time.Now()) {
 		return unknownCommitError(member)
 	}
 	p.noteCommit(at)
--- a/pkg/gateway/commitfence_test.go
+++ b/pkg/gateway/commitfence_test.go
@@ -172,3 +172,16 @@
 	g.Expect(c.fenceCommits(context.Background(), "")).To(BeFalse())
 	g.Expect(a.pools["g"].mayCommitAt("former")).To(BeFalse())
 }
+
+// Guards against the log of a successor that another member has led in between, whose promotion
+// was carried out late: it may lack what the successor had when its own was ordered.
+func TestCommitsMayBeLostIfAnotherMemberHasLedInBetween(t *testing.T) {
+	g := NewWithT(t)
+	p := fencedPool()
+	answer := settle(p, 5, time.Minute)
+	p.mu.Lock()
+	p.setPrimary("successor", 3)
+	p.promotedAt = group.Position{Term: 1, Index: 5}
+	p.mu.Unlock()
+	g.Eventually(answer).Should(Receive(HaveOccurred()))
+}
