--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -66,8 +66,6 @@
 
 	mu      sync.Mutex
 	members map[string]*poolMember
-	// wasListed is set once the group's members have been listed.
-	wasListed bool
 	// removed are former members on whose connections statements still run.
 	removed map[*poolMember]struct{}
 	primary string
