Make two tests of the commit fence fail without their mechanism

TestAFenceNeedsAMember passed although a change without a known primary set a fence, because the holder's token preceded that of the fence that stood; TestFencesOfFormerHoldersAreRefused passed without the check of the token, because the order of calls refused the call, too.

--- a/pkg/gateway/commitfence_test.go
+++ b/pkg/gateway/commitfence_test.go
@@ -113,7 +113,7 @@
 	g := NewWithT(t)
 	a := newTestInstance("a", &dutyStore{})
 	p := fencedPool()
-	p.endCommitFence(call(2))
+	p.fence = promotion.CommitFence{} // no call of a holder has reached the instance
 	a.pools["g"] = p
 	a.peers.updateDuty(Duty{Holder: "b", Token: 5})
 	request := &pb.FenceCommitsRequest{Group: "g", Member: "former", Call: 3, DurationMs: 1 << 60, DutyToken: 4}
@@ -168,6 +168,7 @@
 	a.pools["g"] = fencedPool()
 	_, err := a.peers.FenceCommits(context.Background(), &pb.FenceCommitsRequest{Group: "g", Call: 9, DurationMs: 1000, DutyToken: 5})
 	g.Expect(err).To(HaveOccurred())
+	a.peers.updateDuty(Duty{Holder: "a", Started: a.started, Token: 6})
 	c := &primaryChange{controller: a.controller, pool: a.pools["g"]}
 	g.Expect(c.fenceCommits(context.Background(), "")).To(BeFalse())
 	g.Expect(a.pools["g"].mayCommitAt("former")).To(BeFalse())
