--- a/review/standin2/halfsent.go
+++ b/review/standin2/halfsent.go
@@ -15,11 +15,11 @@
 
 const (
 	// slowRate is what a link passes on that loses packets.
-	slowRate = 260_000
+	slowRate = 100_000
 	// slowLength is for how long the links are slow.
 	slowLength = 5 * time.Second
 	// itemBytes is the size of the data of a write. A message has 1 MiB at most.
-	itemBytes  = 300_000
+	itemBytes  = 1_000_000
 	writersPer = 4
 	// routeTimeout is `timeoutMs` of the site's routes.
 	routeTimeout = time.Second
