review: stand-ins of the scripts without further libraries

Links and processes of review/standin2 need the standard library only, so that it builds from the module cache of the deploy build.

--- a/review/standin2/burst.go
+++ b/review/standin2/burst.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/platform/standin"
@@ -179,8 +178,7 @@
 		}
 		m.ends[i]++
 		m.e.notef("%s has %d MB of resident memory, over %d MB: the platform kills it", in.name, bytes>>20, memoryLimit>>20)
-		_ = in.Signal(syscall.SIGKILL)
-		<-in.Done()
+		in.Kill()
 		time.Sleep(restartDelay)
 		if err := in.Start(); err != nil {
 			m.e.notef("cannot restart %s: %v", in.name, err)
--- a/review/standin2/harness.go
+++ b/review/standin2/harness.go
@@ -21,7 +21,6 @@
 
 	"github.com/mulberrysill/mulberrysill/platform/standin"
 	"github.com/mulberrysill/mulberrysill/standin/ports"
-	"github.com/mulberrysill/mulberrysill/standin/stack"
 )
 
 // Exit codes of a case.
@@ -132,10 +131,10 @@
 
 // instance is a mulberrygate process.
 type instance struct {
-	*stack.Process
+	*process
 	name, zone, address, readiness string
 	// store is the instance's link to the store, and peers that of the others to it.
-	store, peers *stack.Link
+	store, peers *cutLink
 	settings     map[string]any
 	path         string
 }
@@ -149,7 +148,6 @@
 
 // startInstances starts instances with the settings of a small deployment.
 func (e *environment) startInstances(d *deployment, count int) ([]*instance, error) {
-	server := stack.NewFaultServer()
 	var all []*instance
 	for i := range count {
 		addresses, err := ports.Free(3)
@@ -157,10 +155,10 @@
 			return nil, err
 		}
 		in := &instance{name: fmt.Sprintf("gate-%d", i), zone: fmt.Sprintf("z%d", i+1), address: addresses[0], readiness: addresses[1]}
-		if in.store, err = stack.NewLink(server, in.name+"-store", d.store.Address()); err != nil {
+		if in.store, err = newCutLink(d.store.Address()); err != nil {
 			return nil, err
 		}
-		if in.peers, err = stack.NewLink(server, in.name+"-peers", addresses[2]); err != nil {
+		if in.peers, err = newCutLink(addresses[2]); err != nil {
 			return nil, err
 		}
 		in.settings = map[string]any{
@@ -178,7 +176,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if in.Process, err = stack.StartProcess(log, e.gate, "--config", in.path); err != nil {
+		if in.process, err = startProcess(log, e.gate, "--config", in.path); err != nil {
 			return nil, err
 		}
 		e.mu.Lock()
--- a/review/standin2/moved.go
+++ b/review/standin2/moved.go
@@ -106,9 +106,7 @@
 	cut := instances[2]
 	if e.trouble {
 		e.notef("%s is cut off from the store", cut.name)
-		if err := cut.store.Freeze(); err != nil {
-			return false, err
-		}
+		cut.store.Freeze()
 	}
 	time.Sleep(300 * time.Millisecond)
 	config.Version, config.ReadYourWritesGroup = 20, second.Name
--- a/review/standin2/unfenced.go
+++ b/review/standin2/unfenced.go
@@ -67,9 +67,7 @@
 		if e.trouble {
 			e.notef("round %d: the instances are cut off from each other; both reach the store, the members and their clients", n+1)
 			for _, in := range instances {
-				if err := in.peers.Freeze(); err != nil {
-					return false, err
-				}
+				in.peers.Freeze()
 			}
 		}
 		ended := time.Now().Add(cutOff)
