Stop the primary of a planned change if an instance cannot be fenced

What callers saw: writes that were answered with DONE were missing after a planned change of primary, while one instance was cut off from the others. Cause: a planned change went on although an instance had not confirmed its commit fence, as long as the logs of the listed replicas showed all commits that the promoter knew of. That instance went on passing on acknowledgements of the old primary, which replicas gave that the promoter's list did not show yet and that were therefore not paused. The successor lacked these commits. Change: if a fence is not confirmed, the primary is made a replica (DEMOTE) before the order. Nobody gets a commit acknowledged after that, whichever instance it asks, and the end of the primary's log bounds what has been; the successor must have it. A planned change waits if the primary cannot be stopped. If all instances are fenced, nothing changes.

--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -12,6 +12,10 @@
 // Commits acknowledged before the pause are all held by the replica with the
 // highest position, whether it is paused or not. If the log of a replica is not at
 // hand, the missing answer says nothing about the commits in it; see Choose.
+//
+// Replicas that the promoter does not know are not paused. The instances are fenced
+// against what these acknowledge (CommitFence) or, if an instance cannot be fenced, the
+// primary is stopped before the order (Knowledge.Stopped).
 package promotion
 
 import (
@@ -141,6 +145,11 @@
 	// Fenced is set if no commit beyond Acknowledged is acknowledged any more unless the
 	// successor has it: every instance that may acknowledge one has a commit fence.
 	Fenced bool
+	// Stopped is set if the primary has been made a replica, so that no instance can get a
+	// commit acknowledged any more. FinalLog is then the end of its log, and no acknowledged
+	// commit lies beyond it.
+	Stopped  bool
+	FinalLog group.Position
 }
 
 // minReplicaLogs is the number of settled replicas that must have answered, besides none
@@ -196,6 +205,9 @@
 //   - complete knowledge of the instances, if the primary did not answer or they are fenced.
 //     Commits of the primary that none of them has seen acknowledged may be missing.
 //
+// If the primary is stopped, the promoted member must have its final log, and no other proof
+// is needed.
+//
 // A silent member that the platform still lists, or listed until less than
 // UnlistedTimeout ago, is waited for in any case. Choose returns false until one of the
 // members provably has all acknowledged commits.
@@ -216,7 +228,9 @@
 // provenMembers returns the members that Choose may return, preferred ones first.
 func provenMembers(members []Member, primary string, known Knowledge) []string {
 	required := known.Acknowledged
-	if lacksReplicaLogs(members, primary) {
+	if known.Stopped {
+		required = later(required, known.FinalLog)
+	} else if lacksReplicaLogs(members, primary) {
 		log, answered := primaryLog(members, primary)
 		switch {
 		case known.Fenced:
--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -70,6 +70,10 @@
 	confirmedMembers []poolMember
 	// orders are the promotions ordered before, by this change or by earlier ones.
 	orders groupOrders
+	// reachesPrimary is whether this instance reached the primary when that was last asked.
+	reachesPrimary bool
+	// stop is set while the primary is a replica because an instance could not be fenced.
+	stop *primaryStop
 }
 
 func (c *primaryChange) log() *logrus.Entry {
@@ -95,6 +99,7 @@
 		return
 	}
 	c.resumeUnlessOrdered() // those that a former change left paused
+	defer c.noteAbandonedStop()
 	for ctx.Err() == nil {
 		c.renewFence(ctx)
 		// Replicas that are paused under an outdated claim would be left paused.
@@ -108,6 +113,9 @@
 				c.log().Info("change of primary abandoned: the primary is usable")
 				return
 			}
+			if c.isReinstatementDue() && c.reinstatePrimary(ctx) {
+				return
+			}
 			sleep(ctx, successorRetryInterval)
 			continue
 		}
@@ -161,6 +169,9 @@
 
 // isResolved reports whether the change is no longer needed.
 func (c *primaryChange) isResolved(ctx context.Context) bool {
+	if c.stop != nil {
+		return false
+	}
 	switch c.reason {
 	case promotion.Unreachable:
 		return !c.askInstances(ctx).votes.IsUnreachable()
@@ -198,7 +209,7 @@
 		c.log().WithFields(logrus.Fields{"answers": len(statuses), "acknowledged": c.acknowledged.String()}).Info("no member provably holds every commit yet")
 		return Member{}, false
 	}
-	if log, answered := statuses[c.primary]; c.reason == promotion.CutOff && answered && statuses[chosen].Received.Compare(log.Received) >= 0 {
+	if log, answered := statuses[c.primary]; c.reason == promotion.CutOff && c.stop == nil && answered && statuses[chosen].Received.Compare(log.Received) >= 0 {
 		return Member{}, false // the primary is no longer cut off
 	}
 	var successor Member
@@ -282,15 +293,18 @@
 
 // confirmFenced sets a commit fence and reports whether the successor holds all commits that
 // were acknowledged before. Members that this instance does not know may have acknowledged
-// some of them. If an instance cannot be fenced, the logs of the members must show them all.
+// some of them. If an instance cannot be fenced, the primary is stopped instead; one that works
+// is not replaced otherwise. If the primary of an unplanned change cannot be stopped, the logs
+// of the members must show all commits.
 func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
 	isFenced := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
+	mayOrder := isFenced || c.stopPrimary(ctx, statuses) || !c.reason.IsPlanned()
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
-		if !ok {
+		if !ok || !mayOrder {
 			break
 		}
-		known := promotion.Knowledge{Acknowledged: c.acknowledged, Fenced: isFenced}
+		known := c.addStop(promotion.Knowledge{Acknowledged: c.acknowledged, Fenced: isFenced})
 		if promotion.MayPromote(successor.ID, candidates, c.primary, known) {
 			c.confirmedAt, c.confirmedLog = time.Now(), statuses[successor.ID].Received
 			c.logProof(successor, candidates, known)
@@ -335,7 +349,7 @@
 	}
 	slices.Sort(logs)
 	fields := logrus.Fields{
-		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "fenced": known.Fenced, "members": logs,
+		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "fenced": known.Fenced, "stopped": known.Stopped, "members": logs,
 		"fencedInstances": c.orders.fence.instances, "pauseTerm": c.term, "ms": time.Since(c.started).Milliseconds(),
 	}
 	if list := c.controller.gw.memberList.Load(); list != nil {
@@ -361,6 +375,15 @@
 	c.resumeReplicas(ctx)
 }
 
+// noteAbandonedStop makes the controller look for the group's primary if the change has left it
+// stopped.
+func (c *primaryChange) noteAbandonedStop() {
+	if c.stop != nil {
+		c.log().Warn("the primary is left stopped")
+		c.pool.recordNotPrimary(c.primary)
+	}
+}
+
 // errNotDutyHolder means that another instance has claimed the promotion
 // lease.
 var errNotDutyHolder = errors.New("another instance holds the promotion duty")
@@ -462,7 +485,9 @@
 				PromotedTerm: c.confirmedLog.Term, PromotedIndex: c.confirmedLog.Index,
 			})
 			c.orders.fence = orderedFence{} // the new primary ends the fences of the instances
-			go c.demoteFormer(status.Term)
+			if c.stop = nil; successor.ID != c.primary {
+				go c.demoteFormer(status.Term)
+			}
 			c.orders.pending, c.orders.resumeTerm = !c.voidOtherOrders(ctx, successor.ID), status.Term
 			c.pausedReplicas = append(c.pausedReplicas, c.pausedAgain...)
 			c.log().WithFields(logrus.Fields{"successor": successor.ID, "ms": time.Since(c.started).Milliseconds()}).Info("primary changed")
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -75,7 +75,8 @@
 		return view{r.Reachable, group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}}, nil
 	})
 	out := instanceAnswers{allAnswered: all}
-	for _, v := range append(views, <-own) {
+	ownView := <-own
+	for _, v := range append(views, ownView) {
 		c.noteAcknowledged(v.acknowledged)
 		if v.reaches {
 			out.votes.Reachable++
@@ -83,6 +84,7 @@
 			out.votes.Unreachable++
 		}
 	}
+	c.reachesPrimary = ownView.reaches
 	return out
 }
 
@@ -97,8 +99,8 @@
 func (c *primaryChange) knowledge(ctx context.Context, candidates []promotion.Member) promotion.Knowledge {
 	_, _, _, acknowledged := c.pool.snapshot()
 	c.noteAcknowledged(acknowledged)
-	if !promotion.NeedsCompleteKnowledge(candidates, c.primary) {
-		return promotion.Knowledge{Acknowledged: c.acknowledged}
+	if known := c.addStop(promotion.Knowledge{Acknowledged: c.acknowledged}); known.Stopped || !promotion.NeedsCompleteKnowledge(candidates, c.primary) {
+		return known
 	}
 	answers := c.askInstances(ctx)
 	unreported := c.controller.gw.peers.unreported(time.Now())
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -177,7 +177,7 @@
 func (s *session) shouldRetryWrite(p *pool, conn *pooledConn, e *statement.Error) bool {
 	switch e.Code {
 	case statement.ReadOnly:
-		p.recordNotPrimary(conn)
+		p.recordNotPrimary(conn.memberID)
 		return true
 	case statement.Busy:
 		time.Sleep(busyRetryDelay)
@@ -268,7 +268,7 @@
 					continue
 				}
 				if err == nil {
-					p.recordNotPrimary(conn)
+					p.recordNotPrimary(conn.memberID)
 				}
 				last = err
 				continue
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -310,10 +310,10 @@
 }
 
 // recordNotPrimary records that a member assumed to be primary is not.
-func (p *pool) recordNotPrimary(c *pooledConn) {
+func (p *pool) recordNotPrimary(member string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.primary == c.member.ID {
+	if p.primary == member {
 		p.deposed, p.deposedTerm = p.primary, p.term
 		p.primary = ""
 		p.notifyMembersChanged()
--- a/pkg/gateway/positions.go
+++ b/pkg/gateway/positions.go
@@ -120,7 +120,7 @@
 	}
 	ok, err := p.proveLeadership(conn, deadline)
 	if err == nil && !ok {
-		p.recordNotPrimary(conn)
+		p.recordNotPrimary(conn.memberID)
 	}
 	p.returnConn(conn, err == nil || errors.Is(err, errUnconfirmed))
 }
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// countStoppedPrimary counts a primary that was stopped before its successor was promoted.
+func (l *requestLog) countStoppedPrimary() {
+	if l.stats != nil {
+		l.stats.Scope().Counter("stopped_primaries").Inc(1)
+	}
+}
+
 // countUnusableGroup counts a group that was found to have no usable member.
 func (l *requestLog) countUnusableGroup() {
 	if l.stats != nil {
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -208,7 +208,7 @@
 		if check != nil {
 			switch check.wait(deadline) {
 			case promotion.Superseded:
-				p.recordNotPrimary(conn)
+				p.recordNotPrimary(conn.memberID)
 				return false, errUnconfirmed
 			case promotion.Unconfirmed:
 				return false, errUnconfirmed
@@ -220,7 +220,7 @@
 		}
 		return true, nil
 	case r.Err.Code == statement.ReadOnly:
-		p.recordNotPrimary(conn)
+		p.recordNotPrimary(conn.memberID)
 		return false, r.Err
 	case r.Err.Code == statement.Lagging:
 		if begin.ReadOnly {
@@ -262,7 +262,7 @@
 func (s *session) handleMemberError(st statement.Statement, reply statement.Reply) error {
 	e := memberError(reply.Err)
 	if reply.Err.Code == statement.ReadOnly {
-		s.tx.pool.recordNotPrimary(s.tx.conn)
+		s.tx.pool.recordNotPrimary(s.tx.conn.memberID)
 		e = verdict.New(verdict.NotRun, verdict.TransactionAborted, "member %s is no longer primary; the transaction is rolled back", s.tx.conn.member.ID)
 	}
 	if st.Kind == statement.Commit && !reply.Err.NotRun() {
--- a/pkg/gateway/unseen_replica_test.go
+++ b/pkg/gateway/unseen_replica_test.go
@@ -48,6 +48,16 @@
 		func(d *deployment) { d.store.PutMember(d.group.Primary(), "draining") },
 		func(d *deployment, former *standin.Member) { d.store.PutMember(former, "ready") },
 	}
+	leavingAndInstanceSilent = replacement{
+		func(d *deployment) {
+			d.instances[1].answersPeers.Store(false)
+			leaving.begin(d)
+		},
+		func(d *deployment, former *standin.Member) {
+			d.instances[1].answersPeers.Store(true)
+			leaving.end(d, former)
+		},
+	}
 )
 
 // newDutyDeployment starts three instances, of which the first one holds the promotion lease.
@@ -128,6 +138,7 @@
 		Entry("as a part of the instances cannot reach the primary", partlyUnreachable),
 		Entry("as a part of the instances cannot reach the primary, and another one does not answer its peers", partlyUnreachableAndInstanceSilent),
 		Entry("as the primary is leaving", leaving),
+		Entry("as the primary is leaving, and another instance does not answer its peers", leavingAndInstanceSilent),
 	)
 
 	// Guards against the same loss for as long as an order without an answer may still be
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -174,7 +174,7 @@
 func (p *pool) samplePosition(c *pooledConn) {
 	ok, err := p.proveLeadership(c, time.Now().Add(probeTimeout))
 	if err == nil && !ok {
-		p.recordNotPrimary(c)
+		p.recordNotPrimary(c.memberID)
 	}
 	p.release(c, err == nil || errors.Is(err, errUnconfirmed))
 }
