Stop a partly unreachable primary through an instance that reaches it

Cause: the promoter cannot demote a primary that it does not reach. Change: it asks the other instances to (StopPrimary), if one of them has said that it reaches the primary. An instance of an earlier build refuses the call, and the change goes on as before.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -70,7 +70,9 @@
 	confirmedMembers []poolMember
 	// orders are the promotions ordered before, by this change or by earlier ones.
 	orders groupOrders
-	// reachesPrimary is whether this instance reached the primary when that was last asked.
+	// votes are the last answers of the instances whether they reach the primary, and
+	// reachesPrimary is that of this one.
+	votes          promotion.Votes
 	reachesPrimary bool
 	// stop is set while the primary is a replica because an instance could not be fenced.
 	stop *primaryStop
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -84,7 +84,7 @@
 			out.votes.Unreachable++
 		}
 	}
-	c.reachesPrimary = ownView.reaches
+	c.votes, c.reachesPrimary = out.votes, ownView.reaches
 	return out
 }
 
--- a/pkg/gateway/stopprimary.go
+++ b/pkg/gateway/stopprimary.go
@@ -7,10 +7,13 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
+	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
 const (
@@ -21,6 +24,8 @@
 	// of the log of the stopped primary. Within it the list shows the replicas that receive
 	// but were not listed yet. The primary may have commits that no replica ever receives.
 	finalLogPatience = promotion.UnlistedTimeout
+	// stopPrimaryTimeout bounds the call to other instances to stop a primary.
+	stopPrimaryTimeout = 2 * peerTimeout
 )
 
 // primaryStop is the end of the log of a primary that a change has made a replica.
@@ -59,6 +64,28 @@
 	return after, nil
 }
 
+// StopPrimary makes a primary that the sender replaces a replica.
+func (ps *peers) StopPrimary(ctx context.Context, r *pb.StopPrimaryRequest) (*pb.StopPrimaryResponse, error) {
+	p := ps.gw.pool(r.Group)
+	if p == nil {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "group %s is not known yet", r.Group)
+	}
+	if duty, _, _ := ps.dutyHolder(); revision.Revision(r.DutyToken) < duty.Token {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "instance %s holds the promotion duty", duty.Holder)
+	}
+	members, _, _, _ := p.snapshot()
+	i := slices.IndexFunc(members, func(m poolMember) bool { return m.ID == r.Member })
+	if i < 0 {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "member %s is not known", r.Member)
+	}
+	status, err := p.stopMember(ctx, members[i].Member)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	ps.gw.log.WithFields(logrus.Fields{"event": "change", "group": p.name, "primary": r.Member, "finalLog": status.Received.String()}).Info("primary stopped for another instance")
+	return &pb.StopPrimaryResponse{FinalTerm: status.Received.Term, FinalIndex: status.Received.Index}, nil
+}
+
 // stopPrimary makes the primary a replica, so that it acknowledges no more commits, and reports
 // whether it is one. That holds for all instances, also for those that cannot be fenced: this
 // instance does not reach or know them, they are suspended, or they run an earlier build.
@@ -69,6 +96,9 @@
 		return false
 	}
 	finalLog, err := c.stopDirectly(ctx, others)
+	if err != nil && c.reason == promotion.Unreachable && c.votes.Reachable > 0 {
+		finalLog, err = c.stopThroughPeers(ctx)
+	}
 	if err != nil {
 		c.log().WithError(err).Warn("cannot stop the primary although an instance is not fenced")
 		return false
@@ -111,6 +141,36 @@
 	return len(others) > 0 && status.Received.Compare(c.acknowledged) >= 0
 }
 
+// stopThroughPeers stops the primary through any instance that reaches it, and returns the end
+// of its log.
+func (c *primaryChange) stopThroughPeers(ctx context.Context) (group.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, stopPrimaryTimeout)
+	defer cancel()
+	duty, _, _ := c.controller.gw.peers.dutyHolder()
+	request := &pb.StopPrimaryRequest{Group: c.pool.name, Member: c.primary, DutyToken: uint64(duty.Token)}
+	type answer struct {
+		response *pb.StopPrimaryResponse
+		err      error
+	}
+	clients := c.controller.gw.peers.reporters()
+	answers := make(chan answer, len(clients))
+	for _, client := range clients {
+		go func() {
+			r, err := client.StopPrimary(ctx, request)
+			answers <- answer{r, err}
+		}()
+	}
+	err := errors.New("no other instance is known")
+	for range clients {
+		a := <-answers
+		if a.err == nil {
+			return group.Position{Term: a.response.FinalTerm, Index: a.response.FinalIndex}, nil
+		}
+		err = a.err
+	}
+	return group.Position{}, err
+}
+
 // addStop adds to what is known of the commits that the primary is stopped. In an unplanned
 // change that no longer counts after finalLogPatience.
 func (c *primaryChange) addStop(known promotion.Knowledge) promotion.Knowledge {
