Stop the primary if a commit fence cannot be renewed

What callers saw: acknowledged commits were lost if an order without an answer was carried out late, its promoter had lost contact with the successor, and an instance had stopped answering its peers after it was fenced. Cause: the fence lapses at that instance after 6 s. The promoter renews it every 2 s, but went on if a renewal was not confirmed by all. Change: it stops the primary then, as if the fence had not been confirmed in the first place. The spec of a holder that ends after it has stopped the primary passes (new, no fault found).

--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -245,10 +245,13 @@
 	return allAnswered && c.controller.gw.peers.unreported(time.Now()) == ""
 }
 
-// renewFence sets the fence again while a promotion may be carried out, before it lapses.
+// renewFence sets the fence again while a promotion may be carried out, before it lapses. If it
+// lapses at an instance that does not answer, that one must get no commits acknowledged.
 func (c *primaryChange) renewFence(ctx context.Context) {
 	if f := c.orders.fence; c.orders.pending && f.stands && time.Since(f.setAt) > commitFenceRenewal {
-		c.fenceCommits(ctx, f.successor)
+		if !c.fenceCommits(ctx, f.successor) {
+			c.stopPrimary(ctx, nil)
+		}
 	}
 }
 
