Tell an instance that starts which commit fences stand

What callers saw: all writes that were acknowledged through an instance which had started while an order was on its way were missing after the promotion. Cause: the promoter fences the instances that it knows when it sets the fence, and sets it again after 2 s at the soonest. A process that starts, or starts again under its ID, has no fence. Change: instances pass on the fences that stand with the states that they exchange, in the order of the calls that set them.

--- a/core/promotion/commitfence.go
+++ b/core/promotion/commitfence.go
@@ -65,6 +65,12 @@
 // its acknowledgement is passed on, or "" if none is passed on.
 func (f *CommitFence) Successor() string { return f.successor }
 
+// Member returns the covered member, or "" if there is none.
+func (f *CommitFence) Member() string { return f.member }
+
+// Order returns the last call that set or ended the fence.
+func (f *CommitFence) Order() FenceOrder { return f.order }
+
 // Stands reports whether the fence covers any member.
 func (f *CommitFence) Stands(now time.Time) bool { return f.Covers(f.member, now) }
 
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -83,6 +83,39 @@
 	return p.acknowledged, true
 }
 
+// standingFence returns the fence of the pool for peers that have just started, or nil.
+func (p *pool) standingFence() *pb.FenceCommitsRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if !p.fence.Stands(now) {
+		return nil
+	}
+	order := p.fence.Order()
+	return &pb.FenceCommitsRequest{
+		Group: p.name, Member: p.fence.Member(), Successor: p.fence.Successor(),
+		DurationMs: p.fence.Remaining(now).Milliseconds(), DutyToken: order.Token, Call: order.Call,
+	}
+}
+
+// adoptFences sets the fences that stand at a peer and that this instance does not know.
+func (ps *peers) adoptFences(fences []*pb.FenceCommitsRequest) {
+	duty, _, _ := ps.dutyHolder()
+	for _, f := range fences {
+		p := ps.gw.pool(f.Group)
+		order := promotion.FenceOrder{Token: f.DutyToken, Call: f.Call}
+		if p == nil || f.Member == "" || f.DurationMs <= 0 || revision.Revision(f.DutyToken) < duty.Token {
+			continue
+		}
+		p.mu.Lock()
+		isNew := p.fence.Order().Precedes(order)
+		p.mu.Unlock()
+		if isNew {
+			p.fenceCommits(f.Member, f.Successor, order, min(time.Duration(f.DurationMs)*time.Millisecond, commitFenceDuration))
+		}
+	}
+}
+
 func (p *pool) endCommitFence(order promotion.FenceOrder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -55,7 +55,7 @@
 	needsSample := false
 	ps.gw.forEachPool(func(p *pool) { needsSample = needsSample || p.needsSample() })
 	interval, wholeInterval := exchangeInterval, ps.wholeExchangeInterval()
-	if needsSample || len(near) > 0 || wholeInterval < exchangeInterval {
+	if needsSample || len(near) > 0 || wholeInterval < exchangeInterval || !ps.isIntroduced() {
 		interval = urgentExchangeInterval
 	}
 	collector, isCollector := ps.collector()
@@ -185,7 +185,7 @@
 	ps.mu.Lock()
 	state.AliveDigest = p.reportedAliveDigest
 	ps.mu.Unlock()
-	asked := bootTime()
+	asked, hasPools := bootTime(), ps.gw.hasPools()
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	answer, err := p.client.Sync(ctx, state)
@@ -199,6 +199,9 @@
 		return // a silent peer ages out; see dutyHolder and liveInstances
 	}
 	ps.observeState(answer)
+	if hasPools {
+		ps.noteIntroduced()
+	}
 	ps.recordPeerSamples(answer.Primaries, asked)
 	ps.adoptConfirmation(p, answer, asked)
 	ps.noteCollectorAnswer(p, answer)
@@ -302,6 +305,9 @@
 		if primary := p.primaryState(); primary != nil {
 			s.Primaries = append(s.Primaries, primary)
 		}
+		if fence := p.standingFence(); fence != nil {
+			s.Fences = append(s.Fences, fence)
+		}
 	})
 	return s
 }
@@ -333,6 +339,7 @@
 	for _, primary := range s.Primaries {
 		ps.recordPrimary(primary)
 	}
+	ps.adoptFences(s.Fences)
 }
 
 // observeUsages applies the usages in the state of a peer. If it is a collector,
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -44,6 +44,8 @@
 	scope placement.ServingScope
 	// gracePeriod is the time in which an instance stops.
 	gracePeriod time.Duration
+	// isRunning is set if instances that are started join a system that runs already.
+	isRunning bool
 	// usage is what the platform requires of usage reports; none by default.
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
@@ -293,7 +295,7 @@
 	i.answersPeers.Store(true)
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
-		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: true,
+		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: !d.isRunning,
 		ClientListener: clients, PeerListener: callCounter{peerListener{peers, i}, map[string]*atomic.Int64{"Usage": &d.usageCalls, "/Run": &d.relayedStatements}}, ReadinessListener: listen(), Dialer: i.members,
 		ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -194,7 +194,10 @@
 		g.spawn(func() { g.usageSender.run(workCtx) })
 		g.spawn(func() { newUsageHolder(g).run(workCtx) })
 	}
-	go g.acceptClients(workCtx, failed)
+	go func() {
+		g.peers.awaitIntroduction(workCtx)
+		g.acceptClients(workCtx, failed)
+	}()
 	g.log.WithFields(g.startFields()).Info("instance started")
 	var err error
 	select {
@@ -324,6 +327,22 @@
 	return g.pool(name)
 }
 
+// hasPools reports whether the groups of the configuration have pools.
+func (g *Gateway) hasPools() bool {
+	c := g.currentConfig.Load()
+	if c == nil {
+		return false
+	}
+	select {
+	case <-c.poolsUpdated:
+		g.poolsMu.RLock()
+		defer g.poolsMu.RUnlock()
+		return len(g.pools) > 0
+	default:
+		return false
+	}
+}
+
 // routeOf returns the route of a database and the pool of its group; both are nil if there
 // is none.
 func (g *Gateway) routeOf(database string) (*catalog.Route, *pool) {
--- a/pkg/gateway/stopped_primary_test.go
+++ b/pkg/gateway/stopped_primary_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,9 +11,13 @@
 	"github.com/mulberrysill/mulberrysill/platform/standin"
 )
 
-// lateOrder is how late an order without an answer is carried out. A commit fence that is not
-// renewed lapses before.
-const lateOrder = 10 * time.Second
+const (
+	// lateOrder is how late an order without an answer is carried out. A commit fence that is
+	// not renewed lapses before.
+	lateOrder = 10 * time.Second
+	// lateStart is the time after which an instance has started, and a fence is renewed.
+	lateStart = 3 * time.Second
+)
 
 // loseOrder begins to replace the primary and waits for an order that gets no answer.
 func loseOrder(d *deployment, reason replacement) {
@@ -45,6 +51,36 @@
 			time.Sleep(lateOrder)
 			carryOut(d)
 			Expect(w.lost(d)).To(BeZero(), lostMessage)
+			w.expectAcknowledgedKept(d)
+		},
+		Entry("as a part of the instances cannot reach the primary", partlyUnreachable),
+		Entry("as the primary is leaving", leaving),
+	)
+
+	// Guards against commits that pass through an instance which has started, and so has no
+	// commit fence, while the order is on its way.
+	DescribeTable("keeps the commits of an instance that starts after the order",
+		func(reason replacement) {
+			d := newDutyDeployment()
+			w := startWriters(d) // an unreachable primary is noticed by statements
+			loseOrder(d, reason)
+			stopReplicas(d)
+			join(d)
+			d.isRunning = true
+			started := d.start("entry9")
+			var acknowledged []standin.Commit
+			for deadline, n := time.Now().Add(lateStart), 0; time.Now().Before(deadline); n++ {
+				c := standin.Commit{Item: fmt.Sprintf("late%d", n), Data: "x"}
+				if strings.HasPrefix(started.queryOnce("orders", "k1", "WRITE "+c.Item+" "+c.Data), "DONE") {
+					acknowledged = append(acknowledged, c)
+				}
+				time.Sleep(pollInterval)
+			}
+			carryOut(d)
+			lost := lostCommits(d, acknowledged)
+			Expect(lost).To(BeZero(), "%d of %d: %s", lost, len(acknowledged), lostMessage)
+			Expect(w.lost(d)).To(BeZero(), lostMessage)
+			w.expectAcknowledgedKept(d)
 		},
 		Entry("as a part of the instances cannot reach the primary", partlyUnreachable),
 		Entry("as the primary is leaving", leaving),
