Let the promotion model stop the primary and draw instances that start

Cause: the model knew neither the stop of a primary whose instances are not all fenced, nor that an instance which starts learns of the fences. Change: the promoter of the model stops a primary that any instance which responds reaches. Three broken rules are added: without the stop, with a replica that responds to nobody, and without fences at the start. The broken rule 'a replica that refuses its pause counts as paused' also leaves the stop out now, since the stop makes up for it; it loses commits as before.

--- a/core/promotion/model_promoter_test.go
+++ b/core/promotion/model_promoter_test.go
@@ -21,6 +21,12 @@
 	acceptRefusedPauses bool
 	// withoutFence orders promotions without stopping the commits of the old primary.
 	withoutFence bool
+	// withoutStop orders promotions without stopping a primary whose instances are not all
+	// fenced.
+	withoutStop bool
+	// startWithoutFences lets instances that restart pass on acknowledgements although the
+	// others are fenced.
+	startWithoutFences bool
 	// countNewReplicas counts the logs of replicas that have just joined or restarted like
 	// those of the others.
 	countNewReplicas bool
@@ -93,10 +99,18 @@
 			}
 		}
 	}
-	if chosen, ok := m.choose(change.statuses, m.knowledge(m.rule.withoutFence)); ok && chosen == change.successor {
+	known := m.knowledge(m.rule.withoutFence)
+	if !known.Fenced && !m.rule.withoutStop && m.stopPrimary() {
+		known.Stopped, known.FinalLog = true, modelPosition(m.primaryIndex)
+		if r := m.pendingPromotion; r != nil && !r.notReceiving {
+			r.received = m.primaryIndex
+			change.statuses[r.id] = modelStatus{r.received, r.knownBegan}
+		}
+	}
+	if chosen, ok := m.choose(change.statuses, known); ok && chosen == change.successor {
 		return
 	}
-	m.pendingPromotion = nil
+	m.pendingPromotion, m.primaryStopped = nil, false // it is promoted again
 	for _, r := range m.replicas {
 		r.paused = false
 	}
@@ -105,6 +119,17 @@
 	}
 }
 
+// stopPrimary makes the primary a replica, through any instance that answers the promoter and
+// reaches it, and reports whether that succeeded.
+func (m *model) stopPrimary() bool {
+	for _, i := range m.instances {
+		if m.primaryUp && i.reachesPrimary && !i.silent {
+			m.primaryStopped = true
+		}
+	}
+	return m.primaryStopped
+}
+
 func (r *modelReplica) responds() bool { return !r.down && !r.dark && !r.left }
 
 // status returns the answers of all replicas that the promoter knows.
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mulberrysill/mulberrysill/core/promotion"
@@ -85,9 +86,11 @@
 	primaryIndex uint64 // index of the primary's last commit
 	acknowledged uint64
 	primaryUp    bool
-	replicas     []*modelReplica // those that run, or have left
-	joined       int
-	instances    []*modelInstance
+	// primaryStopped is set while the primary is a replica.
+	primaryStopped bool
+	replicas       []*modelReplica // those that run, or have left
+	joined         int
+	instances      []*modelInstance
 	// restarted is set once an instance has restarted and forgotten what it knew.
 	restarted bool
 	// change is the promoter's change of the primary before its order, or nil.
@@ -118,7 +121,7 @@
 	r := m.replicas[m.rng.IntN(len(m.replicas))]
 	switch m.rng.IntN(11) {
 	case 0, 1, 2:
-		if m.primaryUp {
+		if m.primaryUp && !m.primaryStopped {
 			m.primaryIndex++
 		}
 	case 3, 4:
@@ -150,7 +153,7 @@
 // them, and their outcome stays unknown.
 func (m *model) acknowledge(index uint64) {
 	i := m.instances[m.rng.IntN(len(m.instances))]
-	if i.reachesPrimary && !i.fenced && index > m.acknowledged {
+	if i.reachesPrimary && !i.fenced && !m.primaryStopped && index > m.acknowledged {
 		m.acknowledged, i.acknowledged = index, index
 	}
 }
@@ -167,7 +170,8 @@
 	switch m.rng.IntN(4) {
 	case 0:
 		if m.primaryUp || mayReturn {
-			m.primaryUp = !m.primaryUp
+			// A primary that comes back takes commits again.
+			m.primaryUp, m.primaryStopped = !m.primaryUp, false
 		}
 	case 1:
 		r.notReceiving = !r.notReceiving
@@ -239,7 +243,7 @@
 		}
 	default:
 		if m.rng.IntN(4) == 0 {
-			*i = modelInstance{reachesPrimary: i.reachesPrimary}
+			*i = modelInstance{reachesPrimary: i.reachesPrimary, fenced: !m.rule.startWithoutFences && m.hasFencedPeer(i)}
 			m.restarted = true
 			if i == m.instances[0] {
 				m.change = nil
@@ -248,6 +252,11 @@
 	}
 }
 
+// hasFencedPeer reports whether another instance that responds tells the instance of its fence.
+func (m *model) hasFencedPeer(instance *modelInstance) bool {
+	return slices.ContainsFunc(m.instances, func(i *modelInstance) bool { return i != instance && i.fenced && !i.silent })
+}
+
 func (m *model) promote() {
 	if p := m.pendingPromotion; !p.left && p.received < m.acknowledged {
 		m.violations = append(m.violations, fmt.Sprintf("%s has %d of %d", p.id, p.received, m.acknowledged))
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -142,6 +142,8 @@
 		Entry("while instances are silent or restart, also if commits are not fenced", modelRule{withoutFence: true}, silentInstances),
 		Entry("while replicas that the promoter does not know join and leave", modelRule{}, unseenReplicas),
 		Entry("while replicas join and leave and instances are cut off", modelRule{}, replacedReplicas),
+		// Guards against commits that only a replica acknowledges which responds to no instance
+		Entry("while a replica receives that responds to nobody", modelRule{}, darkReplicas),
 	)
 	DescribeTable("promotes in a good part of the sequences, also while a replica is silent",
 		func(draws modelDraws) {
@@ -170,10 +172,13 @@
 		Entry("if instances that do not respond are ignored", modelRule{takeSilenceForNone: true}, silentInstances),
 		Entry("if what an instance knew before its restart is ignored", modelRule{forgetRestarts: true}, silentInstances),
 		Entry("if the other replicas are not paused", modelRule{skipPausing: true}, silentInstances),
-		Entry("if a replica that refuses its pause counts as paused", modelRule{acceptRefusedPauses: true}, silentInstances),
+		Entry("if a replica that refuses its pause counts as paused", modelRule{acceptRefusedPauses: true, withoutStop: true}, silentInstances),
 		Entry("if neither commits are fenced nor the other replicas paused", modelRule{withoutFence: true, skipPausing: true}, silentInstances),
 		Entry("if a replica that refuses its pause counts as paused and commits are not fenced", modelRule{withoutFence: true, acceptRefusedPauses: true}, silentInstances),
 		Entry("if commits are not fenced", modelRule{withoutFence: true}, unseenReplicas),
+		Entry("if the primary is not stopped while an instance is not fenced", modelRule{withoutStop: true}, unreachableInstances),
+		Entry("if the primary is not stopped while a replica receives that responds to nobody", modelRule{withoutStop: true}, darkReplicas),
+		Entry("if instances that start are not told of the fence", modelRule{startWithoutFences: true}, unreachableInstances),
 		Entry("if replicas that have just joined or restarted count like the others", modelRule{countNewReplicas: true}, replacedReplicas),
 	)
 })
--- a/core/promotion/suite_test.go
+++ b/core/promotion/suite_test.go
@@ -20,6 +20,9 @@
 	silentInstances  = modelDraws{silence: true}
 	unseenReplicas   = modelDraws{churn: true, unseen: true, steps: longModelSteps}
 	replacedReplicas = modelDraws{churn: true, silence: true, steps: shortModelSteps}
+	darkReplicas     = modelDraws{silence: true, dark: true}
+	// unreachableInstances reach the primary although the promoter does not reach them.
+	unreachableInstances = modelDraws{churn: true, unseen: true, silence: true, hidden: true, steps: shortModelSteps}
 )
 
 // countLosses returns the number of sequences that lose acknowledged commits.
@@ -36,7 +39,7 @@
 // Guards against commits that only a replica acknowledges which responds to no instance and
 // is not listed, but still receives from a primary that runs: it cannot be paused.
 func TestReplicaThatReceivesWithoutResponding(t *testing.T) {
-	if lost := countLosses(modelRule{}, modelDraws{silence: true, dark: true}); lost > 0 {
+	if lost := countLosses(modelRule{}, darkReplicas); lost > 0 {
 		t.Errorf("%d of %d sequences lose acknowledged commits", lost, modelSeeds)
 	}
 }
@@ -44,8 +47,7 @@
 // Guards against commits that pass through an instance which the promoter cannot reach, and so
 // cannot fence, while replicas that the promoter does not know acknowledge them.
 func TestUnseenReplicaBehindAnUnreachableInstance(t *testing.T) {
-	draws := modelDraws{churn: true, unseen: true, silence: true, hidden: true, steps: shortModelSteps}
-	if lost := countLosses(modelRule{}, draws); lost > 0 {
+	if lost := countLosses(modelRule{}, unreachableInstances); lost > 0 {
 		t.Errorf("%d of %d sequences lose acknowledged commits", lost, modelSeeds)
 	}
 }
