--- a/cmd/devsoak/main.go
+++ b/cmd/devsoak/main.go
@@ -34,7 +34,7 @@
 	var duration time.Duration
 	var instances int
 	var binaries []string
-	var planned, replicaChanges bool
+	var planned, replicaChanges, unreachable bool
 	cmd := &cobra.Command{
 		Use:           "devsoak",
 		Short:         "Run the soak test: inject faults into real instances and check the guarantees",
@@ -50,6 +50,8 @@
 	cmd.Flags().IntVar(&instances, "instances", 4, "number of instances; above 16 they exchange states through collectors")
 	cmd.Flags().BoolVar(&planned, "planned", false, "planned work only: restarts, reloads, configurations, replaced members; checks that it cuts no statement")
 	cmd.Flags().BoolVar(&replicaChanges, "replica-changes", false, "replicas that join, leave, fall behind and restart empty, with primaries that are replaced or cut off and late promotions")
+	cmd.Flags().BoolVar(&unreachable, "unreachable-instances", false, "planned changes of primary while instances are cut off from the others, paused or restarted, and unlisted replicas receive commits")
+	cmd.MarkFlagsMutuallyExclusive("planned", "replica-changes", "unreachable-instances")
 	cmd.Flags().StringSliceVar(&binaries, "binary", nil, "builds of mulberrygate that the instances run in turn (default: the present sources)")
 	cmd.RunE = func(*cobra.Command, []string) error {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -57,7 +59,7 @@
 		if instances < 1 || instances > maxInstances {
 			return errors.Newf("--instances: %d is not between 1 and %d", instances, maxInstances)
 		}
-		return runAll(ctx, seed, count, soak.Options{Duration: duration, Instances: instances, Binaries: binaries, Planned: planned, ReplicaChanges: replicaChanges})
+		return runAll(ctx, seed, count, soak.Options{Duration: duration, Instances: instances, Binaries: binaries, Planned: planned, ReplicaChanges: replicaChanges, UnreachableInstances: unreachable})
 	}
 	return cmd
 }
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -52,6 +52,8 @@
 	Planned bool
 	// ReplicaChanges draws the faults with ReplicaChanges instead of Plan.
 	ReplicaChanges bool
+	// UnreachableInstances draws the faults with UnreachableInstances instead of Plan.
+	UnreachableInstances bool
 	// Directory receives the settings and logs.
 	Directory string
 }
@@ -116,9 +118,12 @@
 			{Name: "small", Keys: []string{smallKey}, Rate: smallRate, Burst: smallBurst},
 		},
 	}
-	if o.ReplicaChanges {
+	if o.ReplicaChanges || o.UnreachableInstances {
 		plan, settings.replicationLag, settings.promotionDelay = ReplicaChanges, replicationLag, promotionDelay
 	}
+	if o.UnreachableInstances {
+		plan = UnreachableInstances
+	}
 	r.cluster, err = startCluster(o.Directory, o.Binaries, o.Instances, settings)
 	if r.cluster != nil {
 		defer r.cluster.close()
