--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -57,6 +57,16 @@
 	runOptions(t, soak.Options{Seed: 4108, Duration: replicaChangesRun, ReplicaChanges: true})
 }
 
+// unreachableRun is the duration of the faults of TestShortRunOfUnreachableInstances, two changes
+// of primary.
+const unreachableRun = 12 * time.Second
+
+// TestShortRunOfUnreachableInstances guards against commits that are lost as a primary is replaced
+// while an instance cannot be fenced.
+func TestShortRunOfUnreachableInstances(t *testing.T) {
+	runOptions(t, soak.Options{Seed: 1, Duration: unreachableRun, UnreachableInstances: true})
+}
+
 func runSeed(t *testing.T, seed uint64, duration time.Duration, instances int) {
 	runOptions(t, soak.Options{Seed: seed, Duration: duration, Instances: instances})
 }
@@ -141,6 +151,30 @@
 	g.Expect(seen).To(HaveLen(len(soak.ReplicaKinds())))
 }
 
+// TestUnreachableInstancesCoincideWithChanges guards against plans in which no instance is
+// unreachable as the primary begins to leave, and against a seed that does not reproduce its
+// faults.
+func TestUnreachableInstancesCoincideWithChanges(t *testing.T) {
+	g := NewWithT(t)
+	kinds := map[soak.Kind]bool{}
+	for seed := range uint64(100) {
+		plan := soak.UnreachableInstances(seed, 20*time.Second, 4)
+		g.Expect(plan).To(Equal(soak.UnreachableInstances(seed, 20*time.Second, 4)))
+		coincidences := 0
+		for _, change := range plan {
+			kinds[change.Kind] = true
+			for _, f := range plan {
+				isHindrance := f.Kind != soak.ReplicaJoins && f.Kind != soak.OrdersLate && f.Kind != soak.PrimaryLeaving
+				if change.Kind == soak.PrimaryLeaving && isHindrance && f.From <= change.From && change.From < f.Until {
+					coincidences++
+				}
+			}
+		}
+		g.Expect(coincidences).To(BeNumerically(">=", 2), "seed %d", seed)
+	}
+	g.Expect(kinds).To(HaveLen(7))
+}
+
 // TestPlannedWorkIsPlanned guards against disruptions among the planned work, around which a
 // statement may be cut, and against plans that stop most instances at once or begin without a
 // stop.
