--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -55,7 +55,7 @@
 	needsSample := false
 	ps.gw.forEachPool(func(p *pool) { needsSample = needsSample || p.needsSample() })
 	interval, wholeInterval := exchangeInterval, ps.wholeExchangeInterval()
-	if needsSample || len(near) > 0 || wholeInterval < exchangeInterval || !ps.isIntroduced() {
+	if needsSample || len(near) > 0 || wholeInterval < exchangeInterval || !ps.initialSync.isComplete() {
 		interval = urgentExchangeInterval
 	}
 	collector, isCollector := ps.collector()
@@ -200,7 +200,7 @@
 	}
 	ps.observeState(answer)
 	if hasPools {
-		ps.noteIntroduced()
+		ps.initialSync.complete()
 	}
 	ps.recordPeerSamples(answer.Primaries, asked)
 	ps.adoptConfirmation(p, answer, asked)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -195,7 +195,7 @@
 		g.spawn(func() { newUsageHolder(g).run(workCtx) })
 	}
 	go func() {
-		g.peers.awaitIntroduction(workCtx)
+		g.awaitInitialSync(workCtx)
 		g.acceptClients(workCtx, failed)
 	}()
 	g.log.WithFields(g.startFields()).Info("instance started")
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -27,9 +27,6 @@
 	// restartExchangePeriod is how long an instance exchanges states at the urgent interval
 	// after a restart.
 	restartExchangePeriod = 2 * time.Second
-	// introductionTimeout is how long an instance that has started waits for the first answer
-	// of a peer before it serves clients. They wait up to 2 s for the start of a session.
-	introductionTimeout = time.Second
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 400 * time.Millisecond
 	// peerAliveTimeout is the time since the last message after which a peer
@@ -111,12 +108,9 @@
 	collectorAnsweredAt atomic.Int64
 	// listedAt is when the first listing of the instances ended, on the clock of bootTime;
 	// 0 before. startedAt is when this process started, on the same clock.
-	listedAt  atomic.Int64
-	startedAt time.Duration
-	// introduced is closed once this instance has the commit fences that stand; see
-	// awaitIntroduction.
-	introduced     chan struct{}
-	introducedOnce sync.Once
+	listedAt    atomic.Int64
+	startedAt   time.Duration
+	initialSync initialSync
 	// fetchingConfig is set while a configuration is fetched from a peer.
 	fetchingConfig atomic.Bool
 	// digestSeed makes the digests of different processes differ.
@@ -138,7 +132,7 @@
 
 func newPeers(g *Gateway) *peers {
 	return &peers{
-		gw: g, startedAt: bootTime(), byID: map[string]*peer{}, kick: make(chan struct{}, 1), introduced: make(chan struct{}), digestSeed: maphash.MakeSeed(),
+		gw: g, startedAt: bootTime(), byID: map[string]*peer{}, kick: make(chan struct{}, 1), initialSync: initialSync{done: make(chan struct{})}, digestSeed: maphash.MakeSeed(),
 		httpClient: &http.Client{Transport: &http.Transport{
 			DialContext:     (&net.Dialer{Timeout: peerTimeout}).DialContext,
 			IdleConnTimeout: 30 * time.Second,
@@ -155,36 +149,7 @@
 	isAlone := len(ps.byID) == 0
 	ps.mu.Unlock()
 	if isAlone {
-		ps.noteIntroduced()
-	}
-}
-
-// awaitIntroduction waits until a peer has told this process, which has just started, which
-// commit fences stand. Its clients could get commits acknowledged before that which a
-// promotion that is on its way discards. It waits no longer than introductionTimeout: the
-// other instances may have stopped.
-func (ps *peers) awaitIntroduction(ctx context.Context) {
-	if ps.gw.cfg.FirstStart {
-		return // no promotion has been ordered before
-	}
-	timer := time.NewTimer(introductionTimeout)
-	defer timer.Stop()
-	select {
-	case <-ps.introduced:
-	case <-timer.C:
-		ps.gw.log.WithField("event", "introduction").Warn("no other instance has answered since the start; serving without its commit fences")
-	case <-ctx.Done():
-	}
-}
-
-func (ps *peers) noteIntroduced() { ps.introducedOnce.Do(func() { close(ps.introduced) }) }
-
-func (ps *peers) isIntroduced() bool {
-	select {
-	case <-ps.introduced:
-		return true
-	default:
-		return false
+		ps.initialSync.complete()
 	}
 }
 
