Share the checks of calls by the holder of the promotion lease

Cause: StopPrimary repeated the checks of FenceCommits, and the look-up of a member's entry stood in four places. Change: poolForHolder and pool.entry. Measured: the Go tests and specs of pkg/gateway pass; behavior is the same.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -504,15 +504,14 @@
 // reach its successor goes on as primary. It gives up after demoteTimeout; statements
 // are kept away from the former primary by leadership checks.
 func (c *primaryChange) demoteFormer(term uint64) {
-	members, _, _, _ := c.pool.snapshot()
-	i := slices.IndexFunc(members, func(m poolMember) bool { return m.ID == c.primary })
-	if i < 0 {
+	former, ok := c.pool.entry(c.primary)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), demoteTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		_, err := c.pool.controlCall(ctx, members[i].Member, statement.Statement{Kind: statement.Demote, Term: term})
+		_, err := c.pool.controlCall(ctx, former, statement.Statement{Kind: statement.Demote, Term: term})
 		if err == nil || isMemberError(err) {
 			c.log().WithField("term", term).Info("former primary demoted")
 			return
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -41,12 +41,9 @@
 
 // FenceCommits sets or ends a commit fence at this instance.
 func (ps *peers) FenceCommits(_ context.Context, r *pb.FenceCommitsRequest) (*pb.FenceCommitsResponse, error) {
-	p := ps.gw.pool(r.Group)
-	if p == nil {
-		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "group %s is not known yet", r.Group)
-	}
-	if duty, _, _ := ps.dutyHolder(); revision.Revision(r.DutyToken) < duty.Token {
-		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "instance %s holds the promotion duty", duty.Holder)
+	p, err := ps.poolForHolder(r.Group, r.DutyToken)
+	if err != nil {
+		return nil, err
 	}
 	order := promotion.FenceOrder{Token: r.DutyToken, Call: r.Call}
 	if r.End {
@@ -64,6 +61,19 @@
 	return &pb.FenceCommitsResponse{AcknowledgedTerm: acknowledged.Term, AcknowledgedIndex: acknowledged.Index}, nil
 }
 
+// poolForHolder returns the pool of a group for a call of the holder of the promotion lease. It
+// refuses calls of a former holder.
+func (ps *peers) poolForHolder(group string, dutyToken uint64) (*pool, error) {
+	p := ps.gw.pool(group)
+	if p == nil {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "group %s is not known yet", group)
+	}
+	if duty, _, _ := ps.dutyHolder(); revision.Revision(dutyToken) < duty.Token {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "instance %s holds the promotion duty", duty.Holder)
+	}
+	return p, nil
+}
+
 // fenceCommits keeps back acknowledgements of the member for the duration. It returns the
 // highest position that the instance knows to be acknowledged, or false if a later call has set
 // or ended the fence.
--- a/pkg/gateway/stopprimary.go
+++ b/pkg/gateway/stopprimary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +10,6 @@
 
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
-	"github.com/mulberrysill/mulberrysill/core/revision"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
@@ -66,19 +64,15 @@
 
 // StopPrimary makes a primary that the sender replaces a replica.
 func (ps *peers) StopPrimary(ctx context.Context, r *pb.StopPrimaryRequest) (*pb.StopPrimaryResponse, error) {
-	p := ps.gw.pool(r.Group)
-	if p == nil {
-		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "group %s is not known yet", r.Group)
-	}
-	if duty, _, _ := ps.dutyHolder(); revision.Revision(r.DutyToken) < duty.Token {
-		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "instance %s holds the promotion duty", duty.Holder)
+	p, err := ps.poolForHolder(r.Group, r.DutyToken)
+	if err != nil {
+		return nil, err
 	}
-	members, _, _, _ := p.snapshot()
-	i := slices.IndexFunc(members, func(m poolMember) bool { return m.ID == r.Member })
-	if i < 0 {
+	primary, ok := p.entry(r.Member)
+	if !ok {
 		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "member %s is not known", r.Member)
 	}
-	status, err := p.stopMember(ctx, members[i].Member)
+	status, err := p.stopMember(ctx, primary)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -118,12 +112,11 @@
 	if c.reason == promotion.Unreachable && !c.reachesPrimary {
 		return group.Position{}, errors.New("this instance does not reach the primary")
 	}
-	members, _, _, _ := c.pool.snapshot()
-	i := slices.IndexFunc(members, func(m poolMember) bool { return m.ID == c.primary })
-	if i < 0 {
+	primary, ok := c.pool.entry(c.primary)
+	if !ok {
 		return group.Position{}, errors.New("the primary has left the pool")
 	}
-	status, err := c.pool.stopMember(ctx, members[i].Member)
+	status, err := c.pool.stopMember(ctx, primary)
 	if errors.Is(err, errNotLeading) && (c.stop != nil || c.hasWholeLog(status, others)) {
 		err = nil // stopped by this change or an earlier one
 	}
@@ -189,13 +182,13 @@
 // reinstatePrimary promotes the stopped primary again, and reports whether it leads.
 func (c *primaryChange) reinstatePrimary(ctx context.Context) bool {
 	members, _, _, _ := c.pool.snapshot()
-	i := slices.IndexFunc(members, func(m poolMember) bool { return m.ID == c.primary })
-	if i < 0 {
+	primary, ok := c.pool.entry(c.primary)
+	if !ok {
 		return false
 	}
 	c.log().WithField("finalLog", c.stop.finalLog.String()).Warn("promoting the stopped primary again: no successor has its log")
 	c.confirmedAt, c.confirmedLog, c.confirmedMembers = time.Now(), c.stop.finalLog, members
-	done, err := c.orderPromotion(ctx, members[i].Member)
+	done, err := c.orderPromotion(ctx, primary)
 	if err != nil {
 		c.log().WithError(err).Warn("the stopped primary was not promoted again")
 	}
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -287,6 +287,17 @@
 	return err == nil || isMemberError(err)
 }
 
+// entry returns a copy of a member's entry, or false if the group has no such member.
+func (p *pool) entry(id string) (Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[id]
+	if m == nil {
+		return Member{}, false
+	}
+	return m.Member, true
+}
+
 // snapshot returns copies of the members, and the primary, its term and the
 // highest acknowledged position.
 func (p *pool) snapshot() (members []poolMember, primary string, term uint64, acknowledged group.Position) {
