Keep the end of the log of a stopped primary that restarts without it

Cause: the position that a stopped primary reported last counted as the end of its log, also if it had restarted without its log since. A successor could then be promoted without commits that had been acknowledged. Found by reading. Change: the highest position counts. Measured: TestAPrimaryThatLostItsLogIsNotTakenForStopped fails before (0 instead of 9) and passes now.

--- a/pkg/gateway/stopprimary.go
+++ b/pkg/gateway/stopprimary.go
@@ -103,7 +103,9 @@
 		c.log().WithFields(logrus.Fields{"finalLog": finalLog.String(), "fencedInstances": c.orders.fence.instances}).
 			Warn("primary stopped before its successor is promoted: an instance is not fenced")
 	}
-	c.stop.finalLog = finalLog
+	if finalLog.Compare(c.stop.finalLog) > 0 { // less if the member has lost its log since
+		c.stop.finalLog = finalLog
+	}
 	return true
 }
 
--- a/pkg/gateway/stopprimary_test.go
+++ b/pkg/gateway/stopprimary_test.go
@@ -186,6 +186,11 @@
 	s.change(promotion.Leaving).run(ctx)
 	g.Expect(s.orders).To(BeEmpty())
 
+	stopped := s.change(promotion.Leaving)
+	stopped.stop = &primaryStop{at: time.Now(), finalLog: group.Position{Term: 1, Index: 9}}
+	g.Expect(stopped.stopPrimary(context.Background(), nil)).To(BeTrue())
+	g.Expect(stopped.stop.finalLog.Index).To(BeEquivalentTo(9), "the log was lost after the stop")
+
 	s.index["primary"] = 5 // stopped by another change
 	s.change(promotion.Leaving).run(context.Background())
 	g.Expect(s.orders).To(HaveLen(1))
