Do not promote a stopped primary again while another member may lead

Cause: orders for the successor got no answer for seconds, and one of them was carried out. The promoter could not reach the successor any more, took it for one without the end of the log, and ordered the stopped primary. That order was carried out late, and discarded what the successor had acknowledged. Change: the stopped primary is promoted again only if no promotion of another member may be carried out or may have been, and if it shows its whole log. Measured: TestAStoppedPrimaryDoesNotLeadAgainIfAnotherMemberMayLead fails without the checks and passes now.

--- a/pkg/gateway/stopprimary.go
+++ b/pkg/gateway/stopprimary.go
@@ -176,9 +176,20 @@
 }
 
 // isReinstatementDue reports whether the stopped primary of a planned change should lead again,
-// because no successor gets the end of its log.
+// because no successor gets the end of its log. It must not while another member may have been
+// promoted: that one has the log, and acknowledges commits that the stopped primary lacks.
 func (c *primaryChange) isReinstatementDue() bool {
-	return c.stop != nil && c.reason.IsPlanned() && time.Since(c.stop.at) > maxStoppedPeriod
+	if c.stop == nil || !c.reason.IsPlanned() || time.Since(c.stop.at) <= maxStoppedPeriod {
+		return false
+	}
+	return !c.orders.mayPromoteOther(c.primary)
+}
+
+// mayPromoteOther reports whether a promotion of another member than the given one may be
+// carried out, or may have been.
+func (o *groupOrders) mayPromoteOther(member string) bool {
+	isOther := (o.pending && o.member != member) || (o.unanswered != "" && o.unanswered != member)
+	return isOther || o.unchecked || o.unvoided
 }
 
 // reinstatePrimary promotes the stopped primary again, and reports whether it leads.
@@ -188,6 +199,11 @@
 	if !ok {
 		return false
 	}
+	status, err := c.pool.controlCall(ctx, primary, statement.Statement{Kind: statement.Status})
+	if err != nil || status.Received.Compare(c.stop.finalLog) < 0 {
+		c.log().WithError(err).WithField("received", status.Received.String()).Warn("the stopped primary does not show its log")
+		return false
+	}
 	c.log().WithField("finalLog", c.stop.finalLog.String()).Warn("promoting the stopped primary again: no successor has its log")
 	c.confirmedAt, c.confirmedLog, c.confirmedMembers = time.Now(), c.stop.finalLog, members
 	done, err := c.orderPromotion(ctx, primary)
--- a/pkg/gateway/stopprimary_test.go
+++ b/pkg/gateway/stopprimary_test.go
@@ -129,6 +129,27 @@
 	g.Consistently(s.isDemoted, 100*time.Millisecond).Should(BeFalse(), "as a former primary")
 }
 
+// Guards against an order for the stopped primary while the successor may lead that was ordered
+// before: the commits that it has acknowledged would be lost. And against one for a primary that
+// has lost its log.
+func TestAStoppedPrimaryDoesNotLeadAgainIfAnotherMemberMayLead(t *testing.T) {
+	g := NewWithT(t)
+	s := newStoppableGroup()
+	change := s.change(promotion.Leaving)
+	change.stop = &primaryStop{at: time.Now().Add(-2 * maxStoppedPeriod), finalLog: group.Position{Term: 1, Index: 9}}
+	g.Expect(change.isReinstatementDue()).To(BeTrue())
+	for _, orders := range []groupOrders{{pending: true, member: "r1"}, {unanswered: "r1"}, {unchecked: true}, {unvoided: true}} {
+		change.orders = orders
+		g.Expect(change.isReinstatementDue()).To(BeFalse(), "%+v", orders)
+	}
+	change.orders = groupOrders{pending: true, member: "primary", unanswered: "primary"}
+	g.Expect(change.isReinstatementDue()).To(BeTrue())
+
+	s.demoted = true
+	g.Expect(change.reinstatePrimary(context.Background())).To(BeFalse())
+	g.Expect(s.orders).To(BeEmpty())
+}
+
 // Guards against an unplanned change that waits without end for commits of the stopped primary
 // that no replica receives, and against one that does not wait for those that are under way.
 func TestAnUnplannedChangeWaitsForTheLogOfTheStoppedPrimary(t *testing.T) {
