Stop the writers of a spec when it ends

Cause: two specs left their writers running. Change: writers are stopped and waited for at the end of each spec. Measured: the focused specs pass; the whole script was not run on it.

--- a/pkg/gateway/change_test.go
+++ b/pkg/gateway/change_test.go
@@ -20,6 +20,7 @@
 	mu           sync.Mutex
 	acknowledged []standin.Commit
 	stop         chan struct{}
+	stopOnce     sync.Once
 	wait         sync.WaitGroup
 }
 
@@ -27,6 +28,8 @@
 
 func startWritersOn(instances []*instance) *writers {
 	w := &writers{stop: make(chan struct{})}
+	// Writers that go on would write to instances of later specs that get the same ports.
+	DeferCleanup(w.end)
 	for n, i := range instances {
 		w.wait.Add(1)
 		go func() {
@@ -51,6 +54,12 @@
 	return w
 }
 
+// end stops the writers and waits for them.
+func (w *writers) end() {
+	w.stopOnce.Do(func() { close(w.stop) })
+	w.wait.Wait()
+}
+
 func (w *writers) count() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -59,8 +68,7 @@
 
 // expectAcknowledgedKept checks that the new primary holds every acknowledged commit.
 func (w *writers) expectAcknowledgedKept(d *deployment) {
-	close(w.stop)
-	w.wait.Wait()
+	w.end()
 	for _, c := range w.acknowledged {
 		Expect(d.group.HasCommit(c)).To(BeTrue(), "the acknowledged commit %s is lost", c.Item)
 	}
