Keep an order in force until a newer token is answered

Cause: the answer to a repeated order was taken for the end of the first one. While the claim cannot be renewed both have the same fencing token, and the platform accepts equal tokens. The holder then ordered another member under that token, too, and the first order took the lead from it. Change: orders without an answer are kept with their tokens, and end only when an order under a newer one is answered. A holder keeps the claim before the newest one: it orders under the older claim and repeats under the newer one, so that a lost answer costs one round trip with the store up or down. The spare claim is one write after a claim and after it has been used. Without a spare, an order for another member waits for the store; no replica is paused and no commit held back for it meanwhile. An order without an answer for the present primary is voided once a newer token is at hand.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -214,6 +214,11 @@
 	if log, answered := statuses[c.primary]; c.reason == promotion.CutOff && c.stop == nil && answered && statuses[chosen].Received.Compare(log.Received) >= 0 {
 		return Member{}, false // the primary is no longer cut off
 	}
+	if _, ok := c.tokenFor(chosen); !ok {
+		// No replica is paused, and no commit held back, for an order that cannot be sent.
+		c.log().WithFields(logrus.Fields{"successor": chosen, "unanswered": c.orders.unanswered}).Info("no newer fencing token than that of an order without an answer")
+		return Member{}, false
+	}
 	var successor Member
 	for i := range members {
 		switch m := members[i].Member; m.ID {
@@ -328,7 +333,7 @@
 // lead first, and lack what the successor has.
 func (c *primaryChange) decidingMember(successor Member, candidates []promotion.Member) string {
 	mayWork := c.reason.IsPlanned() || (c.orders.pending && c.reason != promotion.CutOff)
-	otherOrdered := c.orders.unanswered != "" && c.orders.unanswered != successor.ID
+	otherOrdered := c.orders.unanswered.newestFor(except(successor.ID)) > 0
 	if mayWork && !otherOrdered && promotion.MayPromote(successor.ID, candidates, c.primary, promotion.Knowledge{Acknowledged: c.acknowledged}) {
 		return successor.ID
 	}
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -54,6 +54,9 @@
 	// claimRetryInterval is the minimum time between two claims of the
 	// promotion lease.
 	claimRetryInterval = 500 * time.Millisecond
+	// spareClaimInterval is the minimum time between two claims of a holder that has no spare
+	// one.
+	spareClaimInterval = time.Second
 	// holderChangeInterval is the minimum time that the platform requires
 	// between the actions of two successive holders of the promotion lease.
 	// minDutyTenure is how long ago the current claim or its last renewal must
@@ -552,6 +555,9 @@
 		}
 		return
 	}
+	if self && !c.claiming && now.Sub(c.lastClaimAt) >= spareClaimInterval && c.gw.peers.lacksSpareClaim() {
+		c.startClaim(now, func() { c.repeatClaim(ctx, false) })
+	}
 	if alive {
 		c.holderLostAt = time.Time{}
 		return
--- a/pkg/gateway/duty.go
+++ b/pkg/gateway/duty.go
@@ -65,10 +65,23 @@
 // instance can claim the promotion lease immediately afterwards. A claim that the
 // store has lost is made again.
 func (c *controller) renewDuty(ctx context.Context) {
+	lost := c.hasLostClaim()
+	if tenure, _ := c.gw.peers.dutyTenure(); tenure >= dutyRenewAge || lost {
+		c.repeatClaim(ctx, lost)
+	}
+}
+
+// hasLostClaim reports whether the store may have lost the newest claim in a restoration.
+func (c *controller) hasLostClaim() bool {
+	duty, _, _ := c.gw.peers.dutyHolder()
+	return duty.Token.Era() < c.gw.eras.current()
+}
+
+// repeatClaim renews this instance's claim, or makes it again if it is lost.
+func (c *controller) repeatClaim(ctx context.Context, lost bool) {
 	gw := c.gw
 	duty, self, _ := gw.peers.dutyHolder()
-	lost := duty.Token.Era() < gw.eras.current()
-	if tenure, _ := gw.peers.dutyTenure(); !self || (tenure < dutyRenewAge && !lost) {
+	if !self {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, dutyRenewTimeout)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrysill/mulberrysill/core/membership"
+	"github.com/mulberrysill/mulberrysill/core/revision"
 	pb "github.com/mulberrysill/mulberrysill/rpc/gate"
 )
 
@@ -117,6 +118,11 @@
 	digestSeed maphash.Seed
 	fleet      fleetViews // guarded by mu
 	duty       Duty       // guarded by mu; the newest known holder
+	// olderClaim is the claim of this process that its newest one has renewed, if its token may
+	// still be used, and orderToken the newest fencing token that this process has sent with an
+	// order; both are guarded by mu.
+	olderClaim Duty
+	orderToken revision.Revision
 	// dutyKnownSince is when that holder became known; guarded by mu.
 	dutyKnownSince time.Time
 	// dutyGains is how often the promotion lease has come to this process, and hasFormerHolder
@@ -278,9 +284,42 @@
 		ps.dutyGains++
 		ps.hasFormerHolder = ps.duty.Holder != ""
 	}
+	ps.olderClaim = Duty{}
+	if ps.isOwnDuty(d) && isRenewal {
+		ps.olderClaim = ps.duty
+	}
 	ps.duty, ps.dutyKnownSince = d, time.Now()
 }
 
+// ownClaims returns the claims of the promotion lease under which this process may order, oldest
+// first. Tokens never decrease from one order to the next.
+func (ps *peers) ownClaims() []Duty {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	var out []Duty
+	for _, d := range []Duty{ps.olderClaim, ps.duty} {
+		if ps.isOwnDuty(d) && d.Token >= ps.orderToken {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// noteOrderToken records that an order is sent under a token.
+func (ps *peers) noteOrderToken(token revision.Revision) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.orderToken = max(ps.orderToken, token)
+}
+
+// lacksSpareClaim reports whether this process holds the promotion lease and has no claim that
+// it could repeat an order without an answer under.
+func (ps *peers) lacksSpareClaim() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return ps.isOwnDuty(ps.duty) && !ps.duty.IsVoid() && ps.olderClaim.Token < max(ps.orderToken, 1)
+}
+
 // isOwnDuty reports whether this process made the claim.
 func (ps *peers) isOwnDuty(d Duty) bool {
 	return d.Holder == ps.gw.cfg.ID && d.Started == ps.gw.started
--- a/pkg/gateway/stopprimary.go
+++ b/pkg/gateway/stopprimary.go
@@ -188,7 +188,7 @@
 // mayPromoteOther reports whether a promotion of another member than the given one may be
 // carried out, or may have been.
 func (o *groupOrders) mayPromoteOther(member string) bool {
-	isOther := (o.pending && o.member != member) || (o.unanswered != "" && o.unanswered != member)
+	isOther := (o.pending && o.member != member) || o.unanswered.newestFor(except(member)) > 0
 	return isOther || o.unchecked || o.unvoided
 }
 
--- a/pkg/gateway/stopprimary_test.go
+++ b/pkg/gateway/stopprimary_test.go
@@ -138,11 +138,11 @@
 	change := s.change(promotion.Leaving)
 	change.stop = &primaryStop{at: time.Now().Add(-2 * maxStoppedPeriod), finalLog: group.Position{Term: 1, Index: 9}}
 	g.Expect(change.isReinstatementDue()).To(BeTrue())
-	for _, orders := range []groupOrders{{pending: true, member: "r1"}, {unanswered: "r1"}, {unchecked: true}, {unvoided: true}} {
+	for _, orders := range []groupOrders{{pending: true, member: "r1"}, {unanswered: unansweredOrders{"r1": 5}}, {unchecked: true}, {unvoided: true}} {
 		change.orders = orders
 		g.Expect(change.isReinstatementDue()).To(BeFalse(), "%+v", orders)
 	}
-	change.orders = groupOrders{pending: true, member: "primary", unanswered: "primary"}
+	change.orders = groupOrders{pending: true, member: "primary", unanswered: unansweredOrders{"primary": 5}}
 	g.Expect(change.isReinstatementDue()).To(BeTrue())
 
 	s.demoted = true
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -46,10 +46,8 @@
 	// unvoided is set while an order of a former holder of the promotion lease may be carried
 	// out although no replica is paused for it.
 	unvoided bool
-	// unanswered is the member of the newest order of this instance without an answer, and
-	// unansweredToken its fencing token.
-	unanswered      string
-	unansweredToken revision.Revision
+	// unanswered holds the orders of this instance without an answer.
+	unanswered unansweredOrders
 	// fence is the commit fence of the former primary.
 	fence orderedFence
 	// refusedToken is the last fencing token that the platform has refused, and refusals is how
@@ -73,9 +71,9 @@
 	return uncheckedRetryInterval, o.unchecked || len(o.unresumed) > 0
 }
 
-// onlyUnvoided reports whether all that is left to do is to void orders of former holders.
+// onlyUnvoided reports whether all that is left to do is to void orders.
 func (o *groupOrders) onlyUnvoided() bool {
-	return o.unvoided && !o.pending && !o.unchecked && len(o.unresumed) == 0
+	return (o.unvoided || o.unanswered.newest() > 0) && !o.pending && !o.unchecked && len(o.unresumed) == 0
 }
 
 // isUnfinishedDue reports whether an attempt to finish a former change of the group is due.
@@ -98,19 +96,21 @@
 }
 
 // promote orders a promotion. Once it has been answered, the platform refuses all orders with
-// older tokens.
+// older tokens. It still carries out one with the same token.
 func (c *primaryChange) promote(ctx context.Context, duty Duty, member string) error {
 	c.orders.pending, c.orders.member = true, member
+	c.controller.gw.peers.noteOrderToken(duty.Token)
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := c.controller.gw.cfg.Promoter.Promote(ctx, duty, c.pool.name, member)
 	switch {
 	case err == nil:
-		c.orders.unanswered, c.orders.unvoided = "", false
+		c.orders.unanswered.void(duty.Token)
+		c.orders.unvoided = false
 	case errors.Is(err, ErrFenced):
 		c.orders.noteRefusal(duty.Token)
 	case !errors.Is(err, ErrNotAccepted):
-		c.orders.unanswered, c.orders.unansweredToken = member, duty.Token
+		c.orders.unanswered.add(member, duty.Token)
 	}
 	return err
 }
@@ -128,23 +128,40 @@
 	return o.refusals >= maxRefusals && token <= o.refusedToken
 }
 
-// awaitTokenFor returns a claim under which the member's promotion may be ordered: its token
-// is newer than that of an order without an answer for another member, which the platform
-// refuses once it has carried out this one, and not one that the platform refuses. It returns
-// false if another instance holds the promotion lease, if a refused claim cannot be renewed,
-// or if ctx ends.
+// tokenFor returns a claim under which the member's promotion may be ordered, or false if there
+// is none. Its token is newer than those of orders without an answer for other members, which
+// the platform refuses once it has accepted this one. Where it can be, it is newer than that of
+// an order for the same member, too: an answer to a repetition under the same token would leave
+// that order in force. The older of two claims is preferred, so that a newer one is at hand for
+// the repetition even if the store is down.
+func (c *primaryChange) tokenFor(member string) (Duty, bool) {
+	claims := c.controller.gw.peers.ownClaims()
+	for _, duty := range claims {
+		if duty.Token > c.orders.unanswered.newest() && !c.orders.isRefused(duty.Token) {
+			return duty, true
+		}
+	}
+	for _, duty := range slices.Backward(claims) {
+		if duty.Token > c.orders.unanswered.newestFor(except(member)) && !c.orders.isRefused(duty.Token) {
+			return duty, true
+		}
+	}
+	return Duty{}, false
+}
+
+// awaitTokenFor waits for a claim that tokenFor returns. It returns false if another instance
+// holds the promotion lease, if a refused claim cannot be renewed, or if ctx ends.
 func (c *primaryChange) awaitTokenFor(ctx context.Context, member string) (Duty, bool) {
 	for ctx.Err() == nil {
-		duty, ok := c.controller.awaitDuty(ctx)
-		if ok && c.orders.isRefused(duty.Token) {
-			if tenure, _ := c.controller.gw.peers.dutyTenure(); tenure > maxConfirmedDutyAge {
-				return Duty{}, false
-			}
-			sleep(ctx, promoteRetryInterval)
-			continue
+		newest, ok := c.controller.awaitDuty(ctx)
+		if !ok {
+			return Duty{}, false
+		}
+		if duty, ok := c.tokenFor(member); ok {
+			return duty, true
 		}
-		if !ok || c.orders.unanswered == "" || c.orders.unanswered == member || duty.Token > c.orders.unansweredToken {
-			return duty, ok
+		if tenure, _ := c.controller.gw.peers.dutyTenure(); c.orders.isRefused(newest.Token) && tenure > maxConfirmedDutyAge {
+			return Duty{}, false
 		}
 		sleep(ctx, promoteRetryInterval) // awaitDuty renews the claim soon
 	}
@@ -214,13 +231,19 @@
 	return false
 }
 
-// voidFormerOrders makes the platform refuse the orders of former holders by ordering the
-// present primary, unless another member may lead or a replica is paused. It follows the first
-// look after a claim by unfinishedRetryInterval, which keeps the orders of two holders apart.
+// voidFormerOrders makes the platform refuse the orders of former holders, and those of this
+// instance without an answer, by ordering the present primary, unless another member may lead
+// or a replica is paused. It follows the first look after a claim by unfinishedRetryInterval,
+// which keeps the orders of two holders apart.
 func (c *primaryChange) voidFormerOrders(ctx context.Context) {
 	members, primary, _, _ := c.pool.snapshot()
+	// An order under the token of one without an answer voids nothing. While the store is down,
+	// such an order waits for the next claim.
+	if duty, ok := c.tokenFor(primary); primary == "" || !ok || duty.Token <= c.orders.unanswered.newest() {
+		return
+	}
 	duty, ok := c.awaitTokenFor(ctx, primary)
-	if !ok || primary == "" {
+	if !ok {
 		return
 	}
 	statuses := c.callMembers(ctx, nil)
@@ -237,12 +260,11 @@
 	c.orders.pending, c.orders.member = false, ""
 }
 
-// voidOtherOrders makes the platform refuse an order without an answer for another member
-// than the leader, which would otherwise lose the lead once it is carried out. It reports
-// whether there is none any more.
+// voidOtherOrders makes the platform refuse orders without an answer for other members than
+// the leader, which would otherwise lose the lead once they are carried out. It reports whether
+// there are none any more.
 func (c *primaryChange) voidOtherOrders(ctx context.Context, leader string) bool {
-	other := c.orders.unanswered
-	if other == "" || other == leader {
+	if c.orders.unanswered.newestFor(except(leader)) == 0 {
 		return true
 	}
 	duty, ok := c.awaitTokenFor(ctx, leader)
@@ -250,8 +272,7 @@
 		return false
 	}
 	if err := c.promote(ctx, duty, leader); err != nil {
-		c.orders.unanswered, c.orders.unansweredToken = other, duty.Token
-		c.log().WithFields(logrus.Fields{"leader": leader, "ordered": other}).WithError(err).Warn("cannot void the order of another member")
+		c.log().WithFields(logrus.Fields{"leader": leader, "unanswered": c.orders.unanswered}).WithError(err).Warn("cannot void the order of another member")
 		return false
 	}
 	return true
--- a/pkg/gateway/unfinished_test.go
+++ b/pkg/gateway/unfinished_test.go
@@ -78,7 +78,7 @@
 // an older order leads: the commits that the successor has acknowledged would be lost.
 func TestOrdersForOtherMembersAreVoidedOnceASuccessorLeads(t *testing.T) {
 	g := NewWithT(t)
-	orders := groupOrders{pending: true, member: "r1", unanswered: "primary", unansweredToken: 5}
+	orders := groupOrders{pending: true, member: "r1", unanswered: unansweredOrders{"primary": 5}}
 	members := &ledMembers{pausableMembers: pausableMembers{paused: map[string]uint64{}}, leader: "r1"}
 
 	refusing := &orderRecorder{err: errors.New("no answer")}
@@ -99,7 +99,7 @@
 // already lead.
 func TestThePrimaryIsNotOrderedWhileTheOrderedMemberMayLead(t *testing.T) {
 	g := NewWithT(t)
-	orders := groupOrders{pending: true, member: "r1", unanswered: "r1", unansweredToken: 5}
+	orders := groupOrders{pending: true, member: "r1", unanswered: unansweredOrders{"r1": 5}}
 	members := &ledMembers{pausableMembers: pausableMembers{paused: map[string]uint64{"r2": 2}}, leader: "primary", silent: map[string]bool{"r1": true}}
 	promoter := &orderRecorder{}
 	change := changeWithOrders(members, promoter, promotion.Unfinished, orders)
@@ -112,7 +112,7 @@
 // goes on after an older one has been voided.
 func TestReplicasAreResumedOnceThePresentPrimaryIsKept(t *testing.T) {
 	g := NewWithT(t)
-	orders := groupOrders{pending: true, member: "r1", unanswered: "r1", unansweredToken: 5}
+	orders := groupOrders{pending: true, member: "r1", unanswered: unansweredOrders{"r1": 5}}
 	members := &ledMembers{pausableMembers: pausableMembers{paused: map[string]uint64{"r2": 2}}, leader: "primary", silent: map[string]bool{"r1": true}}
 	promoter := &orderRecorder{}
 	change := changeWithOrders(members, promoter, promotion.Leaving, orders, "r1")
