Pause replicas in the term in which the successor leads

Cause: each attempt raised the term of the pauses, while the platform promotes into the term after the present one. A promotion ends no pause of a later term, and a paused replica does not learn of the promotion, so that it is not resumed. Change: the term of the pauses is that of the successor in each attempt. A replica that is paused already refuses the call, and its status shows the pause.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -57,7 +57,8 @@
 	reason     promotion.Reason
 	started    time.Time
 	// acknowledged is the highest position that any instance has said to be acknowledged.
-	acknowledged   group.Position
+	acknowledged group.Position
+	// term is the newest term that a member knows.
 	term           uint64
 	pausedReplicas []Member
 	// pausedAgain are the replicas that were paused after the promotion had been ordered.
@@ -196,7 +197,7 @@
 	}
 	c.term = max(c.term, term)
 	for _, s := range statuses {
-		c.term = max(c.term, s.Term, s.PausedTerm)
+		c.term = max(c.term, s.Term)
 	}
 	candidates := c.candidatesWithStatus(members, statuses)
 	var chosen string
@@ -238,10 +239,13 @@
 // instances cannot reach would only delay the change.
 func (c *primaryChange) asksPrimary() bool { return c.reason != promotion.Unreachable }
 
-// confirmSuccessor pauses the other replicas in a new term and reports whether the
-// successor then holds every acknowledged commit.
+// pauseTerm is the term in which replicas are paused: the one in which the successor leads. A
+// promotion ends no pause of a later term, so that repeated attempts do not raise it.
+func (c *primaryChange) pauseTerm() uint64 { return c.term + 1 }
+
+// confirmSuccessor pauses the other replicas and reports whether the successor then holds
+// every acknowledged commit.
 func (c *primaryChange) confirmSuccessor(ctx context.Context, successor Member) bool {
-	c.term++
 	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
 		switch m.ID {
 		case successor.ID:
@@ -249,7 +253,7 @@
 		case c.primary:
 			return statement.Statement{Kind: statement.Status}, c.asksPrimary()
 		default:
-			return statement.Statement{Kind: statement.Pause, Term: c.term}, true
+			return statement.Statement{Kind: statement.Pause, Term: c.pauseTerm()}, true
 		}
 	})
 	members, _, _, _ := c.pool.snapshot()
@@ -357,7 +361,7 @@
 	slices.Sort(logs)
 	fields := logrus.Fields{
 		"successor": successor.ID, "acknowledged": known.Acknowledged.String(), "fenced": known.Fenced, "stopped": known.Stopped, "members": logs,
-		"fencedInstances": c.orders.fence.instances, "pauseTerm": c.term, "ms": time.Since(c.started).Milliseconds(),
+		"fencedInstances": c.orders.fence.instances, "pauseTerm": c.pauseTerm(), "ms": time.Since(c.started).Milliseconds(),
 	}
 	if list := c.controller.gw.memberList.Load(); list != nil {
 		fields["listRevision"] = list.revision
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -164,3 +164,24 @@
 	g.Expect(other.Token).To(BeNumerically(">", first.Token))
 	g.Expect(other.Token).To(BeNumerically(">=", again.Token))
 }
+
+// Guards against replicas that stay paused after a promotion: it ends no pause of a later term
+// than that of the successor, which repeated attempts must not reach.
+func TestRepeatedAttemptsPauseInTheTermOfTheSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	var terms []uint64
+	h.onControl = func(_ Member, s statement.Statement) *statement.Error {
+		if s.Kind != statement.Pause {
+			return nil
+		}
+		if terms = append(terms, s.Term); len(terms) < 20 {
+			return &statement.Error{Code: statement.Busy}
+		}
+		return nil
+	}
+	h.change(h.a, promotion.Leaving, groupOrders{}).run(context.Background())
+	g.Expect(h.orders).To(HaveLen(1))
+	g.Expect(len(terms)).To(BeNumerically(">", 1))
+	g.Expect(terms).To(HaveEach(BeEquivalentTo(2)))
+}
