Prove commits on replicas where the fences may not be known

Cause: a process passes on acknowledgements without anybody's leave. The holder of the promotion lease takes the announced stop of an instance for the end of it, and neither fences nor misses a new process of it, or of one that has just been added, that it does not hear. The new process serves after a second without having heard which fences stand. Only a replica that is not listed yet had the commits that it passed on. Change: passing on acknowledgements takes a commit lease. Instances renew it at the holder each 0.4 s with the fences that stand; in a large fleet collectors do, and pass it on with its age in the states. It lasts 1.5 s, or 3 s if it is relayed. Without it a commit is passed on once it is proven: a settled replica that is listed has it, or all listed ones have. Every promoter asks those, and its successor must have what they have. The holder's own lease needs proof that nobody else has claimed the promotion lease, from its peers or from the store, and that no order of a former holder is open.

--- a/core/promotion/model_promoter_test.go
+++ b/core/promotion/model_promoter_test.go
@@ -1,6 +1,8 @@
 package promotion_test
 
 import (
+	"slices"
+
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
 )
@@ -24,6 +26,9 @@
 	// withoutStop orders promotions without stopping a primary whose instances are not all
 	// fenced.
 	withoutStop bool
+	// withoutLease lets instances pass on acknowledgements without a proof however long they
+	// have been silent, and the promoter does not wait for that.
+	withoutLease bool
 	// startWithoutFences lets instances that restart pass on acknowledgements although the
 	// others are fenced.
 	startWithoutFences bool
@@ -35,6 +40,8 @@
 // modelChange is what the promoter knows between the pauses and the order.
 type modelChange struct {
 	successor string
+	// begun is the step of the pauses.
+	begun int
 	// statuses are the answers to the pauses, by ID.
 	statuses map[string]modelStatus
 }
@@ -65,7 +72,7 @@
 	if !ok {
 		return
 	}
-	m.change = &modelChange{successor: chosen, statuses: map[string]modelStatus{}}
+	m.change = &modelChange{successor: chosen, begun: m.step, statuses: map[string]modelStatus{}}
 	for _, r := range m.replicas {
 		switch {
 		case r.unseen || !r.responds():
@@ -107,7 +114,8 @@
 			change.statuses[r.id] = modelStatus{r.received, r.knownBegan}
 		}
 	}
-	if chosen, ok := m.choose(change.statuses, known); ok && chosen == change.successor {
+	mayOrder := known.Fenced || known.Stopped || m.haveLeasesLapsed(change.begun)
+	if chosen, ok := m.choose(change.statuses, known); ok && mayOrder && chosen == change.successor {
 		return
 	}
 	m.pendingPromotion, m.primaryStopped = nil, false // it is promoted again
@@ -119,6 +127,13 @@
 	}
 }
 
+// haveLeasesLapsed reports whether no instance that cannot be fenced had a lease at a step.
+func (m *model) haveLeasesLapsed(at int) bool {
+	return m.rule.withoutLease || m.rule.withoutFence || !slices.ContainsFunc(m.instances, func(i *modelInstance) bool {
+		return i.silent && at-i.heardAt < leaseSteps
+	})
+}
+
 // stopPrimary makes the primary a replica, through any instance that answers the promoter and
 // reaches it, and reports whether that succeeded.
 func (m *model) stopPrimary() bool {
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/promotion"
 )
 
@@ -21,6 +22,9 @@
 	listedAfterLeaving, rememberedAfterLeaving = 2, 10
 	// longAgo is the step since which the first replicas have been members.
 	longAgo = -1000
+	// leaseSteps is the number of steps for which an instance has a commit lease after its last
+	// contact with the promoter.
+	leaseSteps = int(promotion.RelayedCommitLeaseDuration / stepTime)
 	// maxReplicas limits the replicas of the group.
 	maxReplicas = 4
 )
@@ -57,6 +61,8 @@
 	reachesPrimary bool
 	// fenced instances pass on no acknowledgement.
 	fenced bool
+	// heardAt is the last step at which the instance was in contact with the promoter.
+	heardAt int
 }
 
 // modelDraws says which events the model draws beside crashes, refusals and commits.
@@ -70,6 +76,9 @@
 	// instances reach no primary and nothing is heard of them while a promotion is pending,
 	// unless hidden is set.
 	silence, hidden bool
+	// prompt lets all replicas receive each commit within a step if they can, and keeps their
+	// logs and what the instances know: a commit is on one replica only while others are paused.
+	prompt bool
 	// steps is the number of steps of a sequence, or 0 for maxModelSteps.
 	steps int
 }
@@ -113,6 +122,11 @@
 			m.promote()
 			return
 		}
+		for _, i := range m.instances {
+			if !i.silent {
+				i.heardAt = m.step
+			}
+		}
 		m.randomEvent()
 	}
 }
@@ -126,6 +140,9 @@
 		}
 	case 3, 4:
 		if m.primaryUp && !r.paused && !r.down && !r.notReceiving && !r.left {
+			if m.draws.prompt && m.change == nil && m.pendingPromotion == nil {
+				m.replicate()
+			}
 			r.received = m.primaryIndex
 			m.acknowledge(r.received)
 		}
@@ -148,16 +165,44 @@
 	}
 }
 
+// replicate lets all replicas that can receive catch up with the primary.
+func (m *model) replicate() {
+	for _, r := range m.replicas {
+		if !r.paused && !r.down && !r.notReceiving && !r.left {
+			r.received = m.primaryIndex
+		}
+	}
+}
+
 // acknowledge makes one of the instances that reach the primary pass on the
 // acknowledgement of the commits up to index. Without such an instance no client learns of
 // them, and their outcome stays unknown.
 func (m *model) acknowledge(index uint64) {
 	i := m.instances[m.rng.IntN(len(m.instances))]
-	if i.reachesPrimary && !i.fenced && !m.primaryStopped && index > m.acknowledged {
+	if i.reachesPrimary && !i.fenced && !m.primaryStopped && index > m.acknowledged && (m.hasLease(i) || m.isProven(index)) {
 		m.acknowledged, i.acknowledged = index, index
 	}
 }
 
+// hasLease reports whether the instance may pass on acknowledgements without a proof.
+func (m *model) hasLease(i *modelInstance) bool {
+	return m.rule.withoutLease || m.step-i.heardAt < leaseSteps
+}
+
+// isProven reports whether the replicas that are listed prove the commits up to index.
+func (m *model) isProven(index uint64) bool {
+	members := []promotion.Member{{ID: "p"}}
+	for _, r := range m.replicas {
+		if r.unseen || r.left && m.step-r.leftAt > listedAfterLeaving || r.down && r.unlisted || r.dark {
+			continue
+		}
+		members = append(members, promotion.Member{
+			ID: r.id, MemberFor: m.settledFor(r), Answered: r.responds(), Role: group.Replica, Term: 1, Received: modelPosition(r.received),
+		})
+	}
+	return promotion.ProvenLog(members, "p").Compare(modelPosition(index)) >= 0
+}
+
 // disturbMember crashes members and lets them come back with their logs. Without churn
 // nobody comes back while a promotion is pending: what is acknowledged then is kept by the
 // pauses alone.
@@ -174,7 +219,7 @@
 			m.primaryUp, m.primaryStopped = !m.primaryUp, false
 		}
 	case 1:
-		r.notReceiving = !r.notReceiving
+		r.notReceiving = !r.notReceiving && !m.draws.prompt
 	default:
 		if !r.down || mayReturn {
 			r.down, r.unlisted = !r.down, m.rng.IntN(2) == 0
@@ -199,7 +244,7 @@
 	switch kind := m.rng.IntN(4); {
 	case kind == 0:
 		m.join(0)
-	case r.left || r == m.pendingPromotion:
+	case r.left || r == m.pendingPromotion || m.draws.prompt:
 	case kind == 1:
 		r.left, r.leftAt = true, m.step
 	case kind == 2:
@@ -242,8 +287,8 @@
 			i.reachesPrimary = i.reachesPrimary && (!isolated || !i.silent)
 		}
 	default:
-		if m.rng.IntN(4) == 0 {
-			*i = modelInstance{reachesPrimary: i.reachesPrimary, fenced: !m.rule.startWithoutFences && m.hasFencedPeer(i)}
+		if m.rng.IntN(4) == 0 && !m.draws.prompt {
+			*i = modelInstance{reachesPrimary: i.reachesPrimary, silent: i.silent, heardAt: longAgo, fenced: !m.rule.startWithoutFences && m.hasFencedPeer(i)}
 			m.restarted = true
 			if i == m.instances[0] {
 				m.change = nil
--- a/core/promotion/promotion.go
+++ b/core/promotion/promotion.go
@@ -15,7 +15,9 @@
 //
 // Replicas that the promoter does not know are not paused. The instances are fenced
 // against what these acknowledge (CommitFence) or, if an instance cannot be fenced, the
-// primary is stopped before the order (Knowledge.Stopped).
+// primary is stopped before the order (Knowledge.Stopped). If it cannot be stopped, the
+// promoter waits until the instance passes on no acknowledgement any more without a proof
+// (CommitLease).
 package promotion
 
 import (
@@ -44,9 +46,10 @@
 	MemberFor time.Duration
 	// Answered reports whether the member responded to the caller's last status or
 	// pause call. Received is the log position up to which the member has received
-	// entries, as reported in that response.
+	// entries, and Term the newest term that it knows, as reported in that response.
 	Answered bool
 	Received group.Position
+	Term     uint64
 	// Paused reports whether replication to the member is paused. This package does
 	// not read it.
 	Paused bool
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -144,6 +144,7 @@
 		Entry("while replicas join and leave and instances are cut off", modelRule{}, replacedReplicas),
 		// Guards against commits that only a replica acknowledges which responds to no instance
 		Entry("while a replica receives that responds to nobody", modelRule{}, darkReplicas),
+		Entry("while a primary that nobody reached comes back behind an instance that is not fenced", modelRule{}, returningPrimary),
 	)
 	DescribeTable("promotes in a good part of the sequences, also while a replica is silent",
 		func(draws modelDraws) {
@@ -177,7 +178,9 @@
 		Entry("if a replica that refuses its pause counts as paused and commits are not fenced", modelRule{withoutFence: true, acceptRefusedPauses: true}, silentInstances),
 		Entry("if commits are not fenced", modelRule{withoutFence: true}, unseenReplicas),
 		Entry("if the primary is not stopped while an instance is not fenced", modelRule{withoutStop: true}, unreachableInstances),
-		Entry("if the primary is not stopped while a replica receives that responds to nobody", modelRule{withoutStop: true}, darkReplicas),
+		Entry("if the primary is not stopped while a replica receives that responds to nobody", modelRule{withoutStop: true, withoutLease: true}, darkReplicas),
+		Entry("if an instance that is not fenced goes on without a proof", modelRule{withoutLease: true}, returningPrimary),
+		Entry("if it does and the primary is not stopped", modelRule{withoutStop: true, withoutLease: true}, returningPrimary),
 		Entry("if instances that start are not told of the fence", modelRule{startWithoutFences: true}, unreachableInstances),
 		Entry("if replicas that have just joined or restarted count like the others", modelRule{countNewReplicas: true}, replacedReplicas),
 	)
--- a/core/promotion/suite_test.go
+++ b/core/promotion/suite_test.go
@@ -23,6 +23,7 @@
 	darkReplicas     = modelDraws{silence: true, dark: true}
 	// unreachableInstances reach the primary although the promoter does not reach them.
 	unreachableInstances = modelDraws{churn: true, unseen: true, silence: true, hidden: true, steps: shortModelSteps}
+	returningPrimary     = modelDraws{churn: true, unseen: true, silence: true, hidden: true, prompt: true, steps: shortModelSteps}
 )
 
 // countLosses returns the number of sequences that lose acknowledged commits.
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -152,11 +152,11 @@
 }
 
 // takesCommits reports whether commits may be sent to the member: it is not fenced, or its
-// successor can be asked which commits it has received, and receives some. The caller holds
-// p.mu.
+// successor can be asked which commits it has received, and receives some. Without a commit
+// lease the replicas must receive some. The caller holds p.mu.
 func (p *pool) takesCommits(member string, now time.Time) bool {
 	if !p.fence.Covers(member, now) {
-		return true
+		return !p.isProofStalled(now)
 	}
 	successor := p.members[p.fence.Successor()]
 	receives := p.heldSince.IsZero() || now.Sub(p.heldSince) < commitStallTimeout
@@ -192,7 +192,10 @@
 		return false
 	}
 	changed := p.fenceChanged
-	wait := min(deadline.Sub(now), p.fence.Remaining(now)+time.Millisecond)
+	wait := deadline.Sub(now)
+	if p.fence.Stands(now) {
+		wait = min(wait, p.fence.Remaining(now)+time.Millisecond)
+	}
 	p.mu.Unlock()
 	defer p.mu.Lock()
 	timer := time.NewTimer(wait)
@@ -213,15 +216,12 @@
 
 // settleCommit records a commit that was sent to the member at a time and that it acknowledged,
 // and returns an error if a promotion may have discarded it. While the member is fenced, it
-// waits until the successor has the commit, or for the outcome of the promotion.
+// waits until the successor has the commit, or for the outcome of the promotion; without a
+// commit lease, until listed replicas have it.
 func (p *pool) settleCommit(ctx context.Context, member string, at group.Position, sent, deadline time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for now := time.Now(); p.fence.Covers(member, now) && (at.IsZero() || at.Compare(p.successorLog) > 0); now = time.Now() {
-		if p.heldSince.IsZero() {
-			p.heldSince = now
-		}
-		p.pollSuccessor()
+	for now := time.Now(); p.isHeldBack(member, at, now); now = time.Now() {
 		if !p.waitForFence(ctx, now, deadline) {
 			return unknownCommitError(member)
 		}
@@ -234,6 +234,22 @@
 	return nil
 }
 
+// isHeldBack reports whether the answer to a commit is held back, and lets the members be asked
+// for their logs then. The caller holds p.mu.
+func (p *pool) isHeldBack(member string, at group.Position, now time.Time) bool {
+	if !p.fence.Covers(member, now) {
+		return p.lacksProof(member, at, now)
+	}
+	if !at.IsZero() && at.Compare(p.successorLog) <= 0 {
+		return false
+	}
+	if p.heldSince.IsZero() {
+		p.heldSince = now
+	}
+	p.pollSuccessor()
+	return true
+}
+
 // pollSuccessor asks the successor for its log in the background, unless that is in progress.
 // The caller holds p.mu.
 func (p *pool) pollSuccessor() {
@@ -326,12 +342,15 @@
 		own, ownAnswered = c.pool.fenceCommits(c.primary, request.Successor, order, commitFenceDuration)
 		positions = append(positions, own)
 	}
-	answers, allAnswered := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (group.Position, error) {
+	answers, failed := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (group.Position, error) {
 		r, err := client.FenceCommits(ctx, request)
 		if err != nil {
 			return group.Position{}, err
 		}
 		return group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}, nil
 	})
-	return append(positions, answers...), allAnswered && ownAnswered
+	for _, at := range answers {
+		positions = append(positions, at)
+	}
+	return positions, len(failed) == 0 && ownAnswered
 }
--- /dev/null
+++ b/pkg/gateway/commitlease_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/promotion"
+)
+
+// leasePair returns the holder of the promotion lease, whose server is returned as well, and an
+// instance that knows it. The holder knows the instance if isKnown is set.
+func leasePair(t *testing.T, isKnown bool) (holder, other *Gateway, server *httptest.Server) {
+	store := &dutyStore{}
+	holder, other = newTestInstance("a", store), newTestInstance("b", store)
+	store.duty = Duty{Holder: "a", Started: holder.started, Token: 5}
+	holder.peers.updateDuty(store.duty)
+	other.peers.updateDuty(store.duty)
+	server = httptest.NewServer(holder.peers.handler())
+	t.Cleanup(server.Close)
+	other.peers.upsert(Instance{ID: "a", PeerAddress: strings.TrimPrefix(server.URL, "http://"), Started: holder.started})
+	if isKnown {
+		holder.peers.upsert(Instance{ID: "b", Started: other.started})
+	}
+	return holder, other, server
+}
+
+// Guards against an instance that passes on acknowledgements without a proof although the holder
+// of the promotion lease cannot fence it: the holder does not know its process, may not know the
+// orders of a former holder, or has not told it which fences stand.
+func TestACommitLeaseIsRenewedByAHolderThatKnowsAllFences(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	holder, other, _ := leasePair(t, true)
+	g.Expect(other.peers.renewFromHolder(ctx)).To(MatchError(ContainSubstring("may not know all commit fences")))
+	holder.controller.groupState("g").checkedGain = 1
+	holder.controller.groupState("g").orders.unvoided = true
+	holder.pools["g"] = newPool("g", "z", nil, nil, func(poolEvent) {})
+	holder.controller.keepCommitLease(ctx)
+	g.Expect(holder.peers.commitLease.holds()).To(BeFalse(), "an order of a former holder may be carried out")
+
+	holder.controller.groupState("g").orders.unvoided = false
+	holder.peers.byID["b"].echoed = bootTime()
+	holder.controller.keepCommitLease(ctx)
+	g.Expect(holder.peers.commitLease.holds()).To(BeTrue())
+	holder.pools["g"].fenceCommits("primary", "", call(1), time.Minute)
+	g.Expect(other.peers.renewFromHolder(ctx)).To(Succeed())
+	g.Expect(other.peers.commitLease.holds()).To(BeFalse(), "the fence is of a group that the instance does not know yet")
+	other.pools["g"] = newPool("g", "z", nil, nil, func(poolEvent) {})
+	holder.pools["g"].fenceCommits("primary", "", promotion.FenceOrder{Token: 5, Call: 2}, time.Minute)
+	g.Expect(other.peers.renewFromHolder(ctx)).To(Succeed())
+	g.Expect(other.peers.commitLease.holds()).To(BeTrue())
+	g.Expect(other.pools["g"].standingFence()).NotTo(BeNil())
+
+	_, stranger, _ := leasePair(t, false)
+	stranger.peers.byID["a"].client = other.peers.byID["a"].client
+	stranger.started++
+	g.Expect(stranger.peers.renewFromHolder(ctx)).To(MatchError(ContainSubstring("not known yet")))
+}
+
+// Guards against a holder that goes on renewing leases although another instance, which does not
+// hear it, has claimed the promotion lease.
+func TestAHolderThatAPeerDoesNotHearAsksTheStore(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	holder, _, _ := leasePair(t, true)
+	_, known := holder.peers.unclaimedUntil()
+	g.Expect(known).To(BeFalse())
+	holder.peers.byID["b"].echoed = bootTime() - time.Minute
+	until, _ := holder.peers.unclaimedUntil()
+	g.Expect(bootTime() - until).To(BeNumerically(">", promotion.CommitLeaseDuration))
+
+	holder.controller.keepCommitLease(ctx)
+	g.Eventually(func() bool {
+		holder.controller.runCalls()
+		holder.controller.keepCommitLease(ctx)
+		return holder.peers.commitLease.holds()
+	}).Should(BeTrue(), "the store shows that it holds the promotion lease")
+
+	store := holder.cfg.Store.(*dutyStore)
+	store.duty = Duty{Holder: "b", Started: 1, Token: 9}
+	g.Eventually(func() bool {
+		holder.controller.runCalls()
+		holder.controller.keepCommitLease(ctx)
+		return holder.peers.commitLease.holds()
+	}, 3*promotion.CommitLeaseDuration).Should(BeFalse())
+}
+
+// Guards against commits that an instance without a lease passes on before a replica that the
+// promoter knows has them, and against waiting for a commit that was sent to a former primary.
+func TestCommitsWithoutALeaseAreProvenOnReplicas(t *testing.T) {
+	g := NewWithT(t)
+	s := newStoppableGroup()
+	p := s.change(promotion.Leaving).pool
+	p.instances = s.a.peers
+	settle := func(index uint64, wait time.Duration) error {
+		now := time.Now()
+		return p.settleCommit(context.Background(), "primary", group.Position{Term: 1, Index: index}, now, now.Add(wait))
+	}
+	g.Expect(settle(5, time.Minute)).To(Succeed())
+	g.Expect(settle(6, 100*time.Millisecond)).NotTo(Succeed(), "no replica has it")
+	time.AfterFunc(50*time.Millisecond, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.index["r1"] = 7
+	})
+	g.Expect(settle(7, time.Minute)).To(Succeed())
+
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.setPrimary("r1", 2)
+	}()
+	g.Expect(settle(8, time.Minute)).NotTo(Succeed(), "another member leads")
+	p.instances.commitLease.renew(bootTime(), promotion.CommitLeaseDuration)
+	g.Expect(p.lacksProof("r1", group.Position{Term: 2, Index: 9}, time.Now())).To(BeFalse())
+}
+
+// Guards against commits that are sent one after another, and end with an unknown outcome,
+// although no replica gets any.
+func TestNoCommitIsSentWhileNoneIsProven(t *testing.T) {
+	g := NewWithT(t)
+	s := newStoppableGroup()
+	p := s.change(promotion.Leaving).pool
+	p.instances = s.a.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	g.Expect(p.takesCommits("primary", now)).To(BeTrue())
+	p.unprovenSince = now.Add(-commitStallTimeout)
+	g.Expect(p.takesCommits("primary", now)).To(BeFalse())
+	g.Expect(p.takesCommits("primary", now.Add(maxProofStall))).To(BeTrue(), "one is tried")
+}
--- a/pkg/gateway/controller.go
+++ b/pkg/gateway/controller.go
@@ -266,6 +266,7 @@
 	c.updatePools()
 	c.reportUnusableGroups(time.Now())
 	c.ensureDutyHolder(ctx)
+	c.keepCommitLease(ctx)
 	c.recordSettledEra(ctx, time.Now())
 	_, holdsLease, _ := c.gw.peers.dutyHolder()
 	c.gw.forEachPool(func(p *pool) {
@@ -535,6 +536,7 @@
 		g.checkedGain = gain
 		change.orders.pending, change.orders.member, change.orders.unresumed = true, "", nil
 		change.orders.unvoided = hasFormerHolder
+		g.orders = change.orders
 	}
 	go func() {
 		change.run(ctx)
--- a/pkg/gateway/evidence.go
+++ b/pkg/gateway/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,11 +25,12 @@
 	allAnswered bool
 }
 
-// callReporters calls all peers that may be running, at once. It returns the answers, and
-// whether all of them have answered.
-func callReporters[T any](ctx context.Context, c *primaryChange, call func(context.Context, pb.Gate) (T, error)) (answers []T, all bool) {
+// callReporters calls all peers that may be running, at once. It returns the answers, and the
+// errors of those that have not answered, by ID.
+func callReporters[T any](ctx context.Context, c *primaryChange, call func(context.Context, pb.Gate) (T, error)) (answers map[string]T, failed map[string]error) {
 	clients := c.controller.gw.peers.reporters()
 	type answer struct {
+		id    string
 		value T
 		err   error
 	}
@@ -39,18 +41,18 @@
 			if err != nil {
 				c.log().WithField("peer", id).WithError(err).Info("instance does not tell which commits it knows")
 			}
-			results <- answer{value, err}
+			results <- answer{id, value, err}
 		}()
 	}
-	all = true
+	answers, failed = make(map[string]T, len(clients)), map[string]error{}
 	for range clients {
 		if a := <-results; a.err == nil {
-			answers = append(answers, a.value)
+			answers[a.id] = a.value
 		} else {
-			all = false
+			failed[a.id] = a.err
 		}
 	}
-	return answers, all
+	return answers, failed
 }
 
 // askInstances asks all instances whether they can reach the primary, and which commits
@@ -67,16 +69,16 @@
 		reaches, acknowledged := c.controller.gw.checkPrimary(ctx, c.pool.name, c.primary)
 		own <- view{reaches, acknowledged}
 	}()
-	views, all := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (view, error) {
+	answers, failed := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (view, error) {
 		r, err := client.CheckPrimary(ctx, &pb.CheckPrimaryRequest{Group: c.pool.name, Member: c.primary})
 		if err != nil {
 			return view{}, err // no vote, and its commits are unknown
 		}
 		return view{r.Reachable, group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}}, nil
 	})
-	out := instanceAnswers{allAnswered: all}
+	out := instanceAnswers{allAnswered: len(failed) == 0}
 	ownView := <-own
-	for _, v := range append(views, ownView) {
+	for _, v := range append(slices.Collect(maps.Values(answers)), ownView) {
 		c.noteAcknowledged(v.acknowledged)
 		if v.reaches {
 			out.votes.Reachable++
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -199,6 +199,7 @@
 		return // a silent peer ages out; see dutyHolder and liveInstances
 	}
 	ps.observeState(answer)
+	ps.adoptRelayedLease(answer, asked)
 	if hasPools {
 		ps.initialSync.complete()
 	}
@@ -287,6 +288,7 @@
 	s := &pb.State{
 		Id: g.cfg.ID, Zone: g.cfg.Zone, Address: g.cfg.PeerAddress, Started: g.started, Leaving: left,
 		DutyHolder: duty.Holder, DutyStarted: duty.Started, DutyToken: uint64(duty.Token), AgeMs: -1, Capacity: g.cfg.Capacity,
+		FencesAgeMs: ps.relayedFencesAge(),
 	}
 	if c := g.currentConfig.Load(); c != nil {
 		s.Revision, s.ConfigVersion = uint64(c.Revision), c.Version()
@@ -305,10 +307,8 @@
 		if primary := p.primaryState(); primary != nil {
 			s.Primaries = append(s.Primaries, primary)
 		}
-		if fence := p.standingFence(); fence != nil {
-			s.Fences = append(s.Fences, fence)
-		}
 	})
+	s.Fences = ps.standingFences()
 	return s
 }
 
@@ -373,6 +373,7 @@
 		now := time.Now()
 		ps.fleet.outdated = ps.fleet.outdated || p.leaving != s.Leaving || now.Sub(p.lastHeard) >= peerAliveTimeout
 		p.lastHeard, p.leaving, p.stopped = now, s.Leaving, p.stopped || s.Stopped
+		p.aliveAt = bootTime()
 	}
 	switch {
 	case len(s.Alive) > 0:
@@ -388,7 +389,7 @@
 		other := ps.upsert(Instance{ID: m.Id, Zone: m.Zone, PeerAddress: m.Address, Started: m.Started, Capacity: m.Capacity})
 		if other.Started == m.Started {
 			ps.fleet.outdated = ps.fleet.outdated || other.leaving || now.Sub(other.lastHeard) >= peerAliveTimeout
-			other.lastHeard, other.leaving = now, false
+			other.lastHeard, other.aliveAt, other.leaving = now, bootTime(), false
 		}
 	}
 	return len(p.reportedAlive)
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -44,6 +44,8 @@
 	scope placement.ServingScope
 	// gracePeriod is the time in which an instance stops.
 	gracePeriod time.Duration
+	// startsSilent is set if instances that are started answer no calls of peers at first.
+	startsSilent bool
 	// isRunning is set if instances that are started join a system that runs already.
 	isRunning bool
 	// usage is what the platform requires of usage reports; none by default.
@@ -292,7 +294,7 @@
 	log.AddHook(relayHook{&d.relayedLines})
 	peers := listen()
 	i := &instance{id: id, ended: make(chan error, 1), members: newMemberNetwork()}
-	i.answersPeers.Store(true)
+	i.answersPeers.Store(!d.startsSilent)
 	store, duties := platform.NewStore(d.store.Address()), platform.NewPromoter(strings.TrimPrefix(d.promotions.URL, "http://"))
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: !d.isRunning,
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -79,6 +79,11 @@
 	suspectUntil time.Time
 	// ping is the question whether the peer responds that is in progress, or nil.
 	ping *pendingPing
+	// aliveAt is when the peer was last heard or reported alive, and echoed the newest time at
+	// which this instance composed a message that the peer has received; the times are on the
+	// clock of bootTime, and 0 for never. sentMs is the newest such time on the peer's clock.
+	aliveAt, echoed time.Duration
+	sentMs          int64
 	// respondedAt is when the peer last responded to a call, on the clock of bootTime.
 	respondedAt atomic.Int64
 }
@@ -129,6 +134,7 @@
 	// is set if it had a holder before; both are guarded by mu.
 	dutyGains       int64
 	hasFormerHolder bool
+	commitLease     commitLease
 	hasLeft         bool // guarded by mu
 	// lostReportAt is when a process that ended without a last report was last heard, and
 	// lostReportOf its instance; both are guarded by mu.
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -87,6 +87,15 @@
 	// successor, and fenceChanged is closed when they are to look again.
 	heldSince    time.Time
 	fenceChanged chan struct{}
+	// provenLog is the end of the log that listed replicas are known to have, pollingReplicas is
+	// set while they are asked, and replicaPollInterval is the delay before they are asked again.
+	// proofTurn says whose turn it is. unprovenSince is since when commits wait for a proof
+	// without any progress.
+	provenLog           group.Position
+	pollingReplicas     bool
+	replicaPollInterval time.Duration
+	proofTurn           int
+	unprovenSince       time.Time
 	// promotedAt is a position that the primary had received when its promotion was ordered;
 	// zero if it is not known.
 	promotedAt group.Position
@@ -332,7 +341,7 @@
 	}
 	former := p.members[p.primary]
 	if former == nil || former.ID != id {
-		p.promotedAt = group.Position{}
+		p.promotedAt, p.unprovenSince = group.Position{}, time.Time{}
 		if p.fence.Successor() == id {
 			p.promotedAt = p.successorLog
 		}
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// countLapsedCommitLease counts a commit lease that has lapsed.
+func (l *requestLog) countLapsedCommitLease() {
+	if l.stats != nil {
+		l.stats.Scope().Counter("lapsed_commit_leases").Inc(1)
+	}
+}
+
 // countUnusableGroup counts a group that was found to have no usable member.
 func (l *requestLog) countUnusableGroup() {
 	if l.stats != nil {
