Wait for the commit leases of instances that are not fenced

Cause: an unplanned change went on although an instance was not fenced and the primary could not be stopped. That instance passed on what a replica acknowledged that was not listed yet, between the proof and the effect of the order. Change: such a change waits until the instance has no commit lease, and asks the replicas for their logs again after that; what the instance passes on then is proven on them. A process whose machine refuses the call has ended and is not waited for.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -41,6 +41,9 @@
 	// commit is repeated before the promotion is ordered. Replicas that restart have
 	// forgotten that they are paused.
 	maxSuccessorProofAge = 500 * time.Millisecond
+	// maxLeaseWait is how long a change waits at most for the end of commit leases before it
+	// looks again whether it is still needed.
+	maxLeaseWait = 1500 * time.Millisecond
 	// catchUpPolls is how often the successor is asked whether it has every commit.
 	catchUpPolls = 4
 	// maxUnprovenPeriod is how long an ordered successor may lack that proof before the change
@@ -246,7 +249,15 @@
 // confirmSuccessor pauses the other replicas and reports whether the successor then holds
 // every acknowledged commit.
 func (c *primaryChange) confirmSuccessor(ctx context.Context, successor Member) bool {
-	statuses := c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
+	statuses := c.pauseAllBut(ctx, successor)
+	members, _, _, _ := c.pool.snapshot()
+	return c.awaitCatchUp(ctx, members, successor, statuses)
+}
+
+// pauseAllBut pauses the replicas other than the successor, and returns the statuses of the
+// members that answered.
+func (c *primaryChange) pauseAllBut(ctx context.Context, successor Member) map[string]memberAnswer {
+	return c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
 		switch m.ID {
 		case successor.ID:
 			return statement.Statement{}, false
@@ -256,8 +267,6 @@
 			return statement.Statement{Kind: statement.Pause, Term: c.pauseTerm()}, true
 		}
 	})
-	members, _, _, _ := c.pool.snapshot()
-	return c.awaitCatchUp(ctx, members, successor, statuses)
 }
 
 // candidatesWithStatus combines the known members with the statuses that they
@@ -306,10 +315,17 @@
 // were acknowledged before. Members that this instance does not know may have acknowledged
 // some of them. If an instance cannot be fenced, the primary is stopped instead; one that works
 // is not replaced otherwise. If the primary of an unplanned change cannot be stopped, the logs
-// of the members must show all commits.
+// of the members must show all commits after the instance has lost its commit lease.
 func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
 	isFenced := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
-	mayOrder := isFenced || c.stopPrimary(ctx, statuses) || !c.reason.IsPlanned()
+	mayOrder := isFenced || c.stopPrimary(ctx, statuses)
+	if !mayOrder && !c.reason.IsPlanned() {
+		if mayOrder = c.awaitLeasesEnd(ctx); mayOrder {
+			statuses = c.pauseAllBut(ctx, successor)
+			members, _, _, _ = c.pool.snapshot()
+			c.confirmedMembers = members
+		}
+	}
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
 		if !ok || !mayOrder {
@@ -323,12 +339,32 @@
 		}
 		sleep(ctx, primaryPollInterval)
 	}
-	if !c.orders.pending {
+	// The fence stands while an unplanned change waits for leases to lapse.
+	if !c.orders.pending && (mayOrder || c.reason.IsPlanned()) {
 		c.endFence(false)
 	}
 	return false
 }
 
+// awaitLeasesEnd waits until the instances that cannot be fenced have no commit lease. What they
+// pass on after that is proven on the replicas, which are then asked for their logs. It returns
+// false if that takes longer than maxLeaseWait.
+func (c *primaryChange) awaitLeasesEnd(ctx context.Context) bool {
+	if c.primary == "" {
+		return true
+	}
+	end, unconfirmed := c.controller.gw.peers.leasesEnd(c.orders.fence.confirmed)
+	wait := end - bootTime()
+	if wait > 0 {
+		c.log().WithFields(logrus.Fields{"instances": unconfirmed, "waitMs": wait.Milliseconds()}).Info("waiting until instances that are not fenced have no commit lease")
+	}
+	if wait > maxLeaseWait {
+		return false
+	}
+	sleep(ctx, wait+time.Millisecond)
+	return ctx.Err() == nil
+}
+
 // decidingMember returns the member that decides which commits are acknowledged behind the
 // fence: the successor if the primary presumably works and all known replicas but the successor
 // are paused, so that it receives the commits. Otherwise nobody does, and writes wait for the
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 
 	"github.com/mulberrysill/mulberrysill/core/group"
@@ -35,8 +37,10 @@
 	stands    bool
 	successor string
 	setAt     time.Time
-	// instances is how many instances have confirmed the fence.
+	// instances is how many instances have confirmed the fence, and confirmed holds the peers
+	// among them, and those that have ended.
 	instances int
+	confirmed map[string]bool
 }
 
 // FenceCommits sets or ends a commit fence at this instance.
@@ -349,8 +353,16 @@
 		}
 		return group.Position{Term: r.AcknowledgedTerm, Index: r.AcknowledgedIndex}, nil
 	})
-	for _, at := range answers {
-		positions = append(positions, at)
+	confirmed := make(map[string]bool, len(answers))
+	for id, at := range answers {
+		positions, confirmed[id] = append(positions, at), true
 	}
+	for id, err := range failed {
+		// The address belongs to a machine that runs, and no process listens there.
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			confirmed[id] = true
+		}
+	}
+	c.orders.fence.confirmed = confirmed
 	return positions, len(failed) == 0 && ownAnswered
 }
--- a/pkg/gateway/commitlease.go
+++ b/pkg/gateway/commitlease.go
@@ -293,3 +293,25 @@
 	})
 	return known
 }
+
+// leasesEnd returns the time until which instances that have not confirmed a fence may have a
+// commit lease, and their IDs.
+func (ps *peers) leasesEnd(confirmed map[string]bool) (end time.Duration, unconfirmed []string) {
+	duration, _ := ps.leaseDuration()
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for id, p := range ps.byID {
+		if p.stopped || confirmed[id] {
+			continue
+		}
+		unconfirmed = append(unconfirmed, id)
+		if p.aliveAt > 0 {
+			end = max(end, p.aliveAt+duration)
+		}
+	}
+	if len(unconfirmed) > 0 {
+		// A former holder may have renewed leases until this process claimed the promotion lease.
+		end = max(end, ps.gainedAt+duration)
+	}
+	return end, unconfirmed
+}
--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -91,6 +92,43 @@
 	}, 3*promotion.CommitLeaseDuration).Should(BeFalse())
 }
 
+// Guards against a promotion that does not wait for instances which still have a commit lease,
+// and against one that waits for instances which cannot have one.
+func TestLeasesOfUnfencedInstancesAreWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	a := newTestInstance("a", &dutyStore{})
+	a.peers.byID = map[string]*peer{
+		"confirmed": {aliveAt: bootTime() + time.Hour},
+		"stopped":   {aliveAt: bootTime() + time.Hour, stopped: true},
+		"silent":    {aliveAt: time.Minute},
+		"never":     {},
+	}
+	confirmed := map[string]bool{"confirmed": true}
+	end, unconfirmed := a.peers.leasesEnd(confirmed)
+	g.Expect(end).To(Equal(time.Minute + promotion.CommitLeaseDuration))
+	g.Expect(unconfirmed).To(ConsistOf("silent", "never"))
+
+	a.peers.gainedAt = time.Hour
+	end, _ = a.peers.leasesEnd(confirmed)
+	g.Expect(end).To(Equal(time.Hour+promotion.CommitLeaseDuration), "a former holder may have renewed leases")
+	confirmed["silent"], confirmed["never"] = true, true
+	end, _ = a.peers.leasesEnd(confirmed)
+	g.Expect(end).To(BeZero())
+}
+
+// Guards against waiting for the lease of a process that has ended: its machine refuses the call.
+func TestAnInstanceWhoseProcessHasEndedIsNotWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	ended := httptest.NewServer(nil)
+	ended.Close()
+	h.a.peers.upsert(Instance{ID: "b", PeerAddress: strings.TrimPrefix(ended.URL, "http://"), Started: 1})
+	change := h.change(h.a, promotion.Unreachable, groupOrders{})
+	g.Expect(change.fenceCommits(context.Background(), "")).To(BeFalse(), "what it has passed on is not known")
+	_, unconfirmed := h.a.peers.leasesEnd(change.orders.fence.confirmed)
+	g.Expect(unconfirmed).To(BeEmpty())
+}
+
 // Guards against commits that an instance without a lease passes on before a replica that the
 // promoter knows has them, and against waiting for a commit that was sent to a former primary.
 func TestCommitsWithoutALeaseAreProvenOnReplicas(t *testing.T) {
@@ -137,3 +175,22 @@
 	g.Expect(p.takesCommits("primary", now)).To(BeFalse())
 	g.Expect(p.takesCommits("primary", now.Add(maxProofStall))).To(BeTrue(), "one is tried")
 }
+
+// Guards against an order for the successor of a primary that cannot be stopped while an instance
+// that cannot be fenced passes on acknowledgements without a proof.
+func TestAnUnplannedChangeWaitsForTheLeasesOfUnfencedInstances(t *testing.T) {
+	g := NewWithT(t)
+	s := newStoppableGroup()
+	s.refusesDemote, s.index["primary"] = true, 9
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	s.a.peers.upsert(Instance{ID: "b", Started: s.b.started + 1, PeerAddress: silent.Addr().String()})
+	heard := bootTime()
+	s.a.peers.byID["b"].aliveAt = heard
+	var ordered time.Duration
+	s.onOrder = func(string) { ordered = bootTime() }
+	s.change(promotion.CutOff).run(context.Background())
+	g.Expect(s.orders).To(HaveLen(1))
+	g.Expect(ordered - heard).To(BeNumerically(">=", promotion.CommitLeaseDuration))
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -134,8 +134,11 @@
 	// is set if it had a holder before; both are guarded by mu.
 	dutyGains       int64
 	hasFormerHolder bool
-	commitLease     commitLease
-	hasLeft         bool // guarded by mu
+	// gainedAt is when the promotion lease last came to this process, on the clock of bootTime;
+	// guarded by mu.
+	gainedAt    time.Duration
+	commitLease commitLease
+	hasLeft     bool // guarded by mu
 	// lostReportAt is when a process that ended without a last report was last heard, and
 	// lostReportOf its instance; both are guarded by mu.
 	lostReportAt time.Time
@@ -288,6 +291,7 @@
 	isRenewal := ps.isOwnDuty(ps.duty) && ps.duty.Token.Era() == d.Token.Era()
 	if ps.isOwnDuty(d) && !isRenewal {
 		ps.dutyGains++
+		ps.gainedAt = bootTime()
 		ps.hasFormerHolder = ps.duty.Holder != ""
 	}
 	ps.olderClaim = Duty{}
--- a/pkg/gateway/unfenced_instance_test.go
+++ b/pkg/gateway/unfenced_instance_test.go
@@ -68,4 +68,26 @@
 		Expect(started.queryOnce("orders", "k1", "WRITE a c")).To(HavePrefix("DONE"))
 		Expect(strings.Join(started.session("orders", "k1").query("WRITE a d"), " ")).To(HavePrefix("DONE"))
 	})
+
+	// Guards against commits that it passes on between the order and its effect, since the primary
+	// is back that nobody reached when it was ordered.
+	It("loses no commit if a primary comes back that is being replaced because nobody reaches it", func() {
+		d := newDividedDeployment(2, false)
+		former, other := d.group.Primary(), d.instances[1]
+		w := startWriters(d)
+		Eventually(w.count, eventualTimeout, pollInterval).Should(BeNumerically(">", 20))
+		d.promotions.DelayNextOrder(promotionDelay, func() {
+			stopReplicas(d)
+			join(d)
+			other.members.restore(former.ID)
+		})
+		for _, i := range d.instances {
+			i.members.cutOff(former.ID)
+		}
+		Eventually(func() string { return d.group.Primary().ID }, eventualTimeout, pollInterval).ShouldNot(Equal(former.ID))
+		Consistently(func() int { return w.lost(d) }, quietPeriod, pollInterval).Should(BeZero(), lostMessage)
+		unite(d)
+		d.instances[0].members.restore(former.ID)
+		w.expectRecovery(d)
+	})
 })
