Adopt the fences of the holder whatever claim they were set under

Cause: found by reading. An instance that a fence call did not reach adopts the fence with the renewal of its commit lease, but ignored it if the holder had renewed its claim since, as one of a former holder. It would then have had a lease without the fence. Change: all fences that come with a renewal count; a call that ended one still precedes it. Measured: TestACommitLeaseIsRenewedByAHolderThatKnowsAllFences fails without the change.

--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -112,13 +112,19 @@
 	}
 }
 
-// adoptFences sets the fences that stand at a peer and that this instance does not know.
+// adoptFences sets the fences that stand at a peer and that this instance does not know, except
+// those of former holders of the promotion lease.
 func (ps *peers) adoptFences(fences []*pb.FenceCommitsRequest) {
 	duty, _, _ := ps.dutyHolder()
+	ps.adoptFencesSince(fences, duty.Token)
+}
+
+// adoptFencesSince adopts the fences that were set under a fencing token or a newer one.
+func (ps *peers) adoptFencesSince(fences []*pb.FenceCommitsRequest, oldest revision.Revision) {
 	for _, f := range fences {
 		p := ps.gw.pool(f.Group)
 		order := promotion.FenceOrder{Token: f.DutyToken, Call: f.Call}
-		if p == nil || f.Member == "" || f.DurationMs <= 0 || revision.Revision(f.DutyToken) < duty.Token {
+		if p == nil || f.Member == "" || f.DurationMs <= 0 || revision.Revision(f.DutyToken) < oldest {
 			continue
 		}
 		p.mu.Lock()
--- a/pkg/gateway/commitlease.go
+++ b/pkg/gateway/commitlease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,20 +94,18 @@
 // instance has composed at a time.
 func (ps *peers) adoptRelayedLease(s *pb.State, composed time.Duration) {
 	duration, isRelayed := ps.leaseDuration()
-	if s.FencesAgeMs <= 0 || !isRelayed || bootTime()-ps.startedAt < relayedLeaseDelay || !ps.knowsGroups(s.Fences) {
+	if s.FencesAgeMs <= 0 || !isRelayed || bootTime()-ps.startedAt < relayedLeaseDelay || !ps.adoptAllFences(s.Fences) {
 		return
 	}
 	ps.commitLease.renew(composed-time.Duration(s.FencesAgeMs)*time.Millisecond, duration)
 }
 
-// knowsGroups reports whether this instance has pools for the groups of the fences.
-func (ps *peers) knowsGroups(fences []*pb.FenceCommitsRequest) bool {
-	for _, f := range fences {
-		if ps.gw.pool(f.Group) == nil {
-			return false
-		}
-	}
-	return true
+// adoptAllFences adopts the fences that come with a renewal, and reports whether this instance
+// has the groups of all of them. They count whatever their tokens: the holder may have renewed
+// its claim since it has set them.
+func (ps *peers) adoptAllFences(fences []*pb.FenceCommitsRequest) bool {
+	ps.adoptFencesSince(fences, 0)
+	return !slices.ContainsFunc(fences, func(f *pb.FenceCommitsRequest) bool { return ps.gw.pool(f.Group) == nil })
 }
 
 // RenewCommitLease returns the commit fences that stand, if this instance holds the promotion
@@ -140,8 +139,7 @@
 	return out
 }
 
-// renewFromHolder renews the commit lease at the holder of the promotion lease. It reports
-// whether the holder has answered.
+// renewFromHolder renews the commit lease at the holder of the promotion lease, if one is known.
 func (ps *peers) renewFromHolder(ctx context.Context) error {
 	ps.mu.Lock()
 	holder := ps.byID[ps.duty.Holder]
@@ -163,8 +161,7 @@
 	ps.mu.Lock()
 	holder.sentMs = max(holder.sentMs, r.SentMs)
 	ps.mu.Unlock()
-	ps.adoptFences(r.Fences)
-	if duration, _ := ps.leaseDuration(); ps.knowsGroups(r.Fences) {
+	if duration, _ := ps.leaseDuration(); ps.adoptAllFences(r.Fences) {
 		ps.commitLease.renew(composed-time.Duration(r.FencesAgeMs)*time.Millisecond, duration)
 	}
 	return nil
--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -58,6 +58,12 @@
 	g.Expect(other.peers.commitLease.holds()).To(BeTrue())
 	g.Expect(other.pools["g"].standingFence()).NotTo(BeNil())
 
+	holder.pools["g"].fenceCommits("primary", "", promotion.FenceOrder{Token: 5, Call: 3}, time.Minute)
+	renewed := Duty{Holder: "a", Started: holder.started, Token: 6}
+	other.peers.updateDuty(renewed)
+	g.Expect(other.peers.renewFromHolder(ctx)).To(Succeed())
+	g.Expect(other.pools["g"].standingFence().Call).To(BeEquivalentTo(3), "set under the claim before")
+
 	_, stranger, _ := leasePair(t, false)
 	stranger.peers.byID["a"].client = other.peers.byID["a"].client
 	stranger.started++
--- a/pkg/gateway/unanswered_test.go
+++ b/pkg/gateway/unanswered_test.go
@@ -11,13 +11,8 @@
 	"github.com/mulberrysill/mulberrysill/core/promotion"
 )
 
-// Guards against taking the answer to a repeated order for the end of the first one: both have
-// the same token if the claim cannot be renewed, and the first one may be carried out after
-// another member has been promoted under that token.
-func TestAnOrderWithoutAnAnswerOutlivesItsRepetitionUnderTheSameToken(t *testing.T) {
-	g := NewWithT(t)
-	h := newHandover()
-	h.store.err = errors.New("down")
+// loseFirstOrder leaves the first order without an answer.
+func loseFirstOrder(h *handover) {
 	lost := false
 	h.refuse = func(string) error {
 		if !lost {
@@ -26,6 +21,16 @@
 		}
 		return nil
 	}
+}
+
+// Guards against taking the answer to a repeated order for the end of the first one: both have
+// the same token if the claim cannot be renewed, and the first one may be carried out after
+// another member has been promoted under that token.
+func TestAnOrderWithoutAnAnswerOutlivesItsRepetitionUnderTheSameToken(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	h.store.err = errors.New("down")
+	loseFirstOrder(h)
 	change := h.change(h.a, promotion.Leaving, groupOrders{})
 	change.run(context.Background())
 	g.Expect(h.orders).To(HaveLen(2))
@@ -58,14 +63,7 @@
 	g.Eventually(h.a.peers.lacksSpareClaim).Should(BeFalse())
 	h.store.err = errors.New("down")
 	h.ageClaim()
-	lost := false
-	h.refuse = func(string) error {
-		if !lost {
-			lost = true
-			return errors.New("no answer")
-		}
-		return nil
-	}
+	loseFirstOrder(h)
 	change := h.change(h.a, promotion.Leaving, groupOrders{})
 	change.run(context.Background())
 	g.Expect(h.orders).To(HaveLen(2))
