Name what is left to do for open orders, and test a relayed fence that is not set yet

voidFormerOrders also voids the unanswered orders of its own instance, and onlyUnvoided was a double negation. The test of relayed leases now also covers a fence of a member that the receiver does not know.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -41,8 +41,8 @@
 	// commit is repeated before the promotion is ordered. Replicas that restart have
 	// forgotten that they are paused.
 	maxSuccessorProofAge = 500 * time.Millisecond
-	// maxLeaseWait is how long a change waits at most for the end of commit leases before it
-	// looks again whether it is still needed.
+	// maxLeaseWait is how long a change waits for the end of commit leases before it looks
+	// again whether it is still needed.
 	maxLeaseWait = 1500 * time.Millisecond
 	// catchUpPolls is how often the successor is asked whether it has every commit.
 	catchUpPolls = 4
@@ -319,12 +319,10 @@
 func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
 	isFenced := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
 	mayOrder := isFenced || c.stopPrimary(ctx, statuses)
-	if !mayOrder && !c.reason.IsPlanned() {
-		if mayOrder = c.awaitLeasesEnd(ctx); mayOrder {
-			statuses = c.pauseAllBut(ctx, successor)
-			members, _, _, _ = c.pool.snapshot()
-			c.confirmedMembers = members
-		}
+	if !mayOrder && !c.reason.IsPlanned() && c.awaitLeasesEnd(ctx) {
+		mayOrder, statuses = true, c.pauseAllBut(ctx, successor)
+		members, _, _, _ = c.pool.snapshot()
+		c.confirmedMembers = members
 	}
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -226,6 +226,9 @@
 	a.peers.startedAt = now - relayedLeaseDelay
 	a.peers.adoptRelayedLease(&pb.State{Id: "m00"}, now)
 	g.Expect(a.peers.commitLease.holds()).To(BeFalse(), "the sender knows no age")
+	unknown := &pb.FenceCommitsRequest{Group: "g", Member: "primary", DutyToken: 5, Call: 1, DurationMs: time.Minute.Milliseconds()}
+	a.peers.adoptRelayedLease(&pb.State{Id: "m00", FencesAgeMs: 1001, Fences: []*pb.FenceCommitsRequest{unknown}}, now)
+	g.Expect(a.peers.commitLease.holds()).To(BeFalse(), "it cannot set the fence yet")
 	a.peers.adoptRelayedLease(relayed, now)
 	g.Expect(a.peers.commitLease.holds()).To(BeTrue())
 	age, _ := a.peers.commitLease.age()
--- a/pkg/gateway/unanswered_test.go
+++ b/pkg/gateway/unanswered_test.go
@@ -88,7 +88,7 @@
 	change := changeWithOrders(members, promoter, promotion.Unfinished, groupOrders{unanswered: unansweredOrders{"primary": 5}})
 	_, due := change.orders.dueAfter()
 	g.Expect(due).To(BeTrue())
-	g.Expect(change.orders.onlyUnvoided()).To(BeTrue())
+	g.Expect(change.orders.onlyVoids()).To(BeTrue())
 	change.run(context.Background()) // the claim has the token of the order
 	g.Expect(promoter.orders).To(BeEmpty())
 
--- a/pkg/gateway/unfinished.go
+++ b/pkg/gateway/unfinished.go
@@ -65,14 +65,14 @@
 // dueAfter returns how long after the last attempt the next one to finish a change is due, or
 // false if there is nothing to finish.
 func (o *groupOrders) dueAfter() (time.Duration, bool) {
-	if o.pending || o.onlyUnvoided() {
+	if o.pending || o.onlyVoids() {
 		return unfinishedRetryInterval, true
 	}
 	return uncheckedRetryInterval, o.unchecked || len(o.unresumed) > 0
 }
 
-// onlyUnvoided reports whether all that is left to do is to void orders.
-func (o *groupOrders) onlyUnvoided() bool {
+// onlyVoids reports whether all that is left to do is to void orders.
+func (o *groupOrders) onlyVoids() bool {
 	return (o.unvoided || o.unanswered.newest() > 0) && !o.pending && !o.unchecked && len(o.unresumed) == 0
 }
 
@@ -86,7 +86,7 @@
 	if !due || g.changeRunning || now.Sub(g.unfinishedAt) <= after {
 		return false
 	}
-	if g.orders.onlyUnvoided() {
+	if g.orders.onlyVoids() {
 		if now.Sub(c.voidedAt) < voidInterval {
 			return false
 		}
@@ -173,8 +173,8 @@
 // present primary: orders for both could be carried out one after the other, and the last one
 // may lack commits acknowledged in between.
 func (c *primaryChange) finishOrdered(ctx context.Context) bool {
-	if c.orders.onlyUnvoided() && c.reason == promotion.Unfinished {
-		c.voidFormerOrders(ctx)
+	if c.orders.onlyVoids() && c.reason == promotion.Unfinished {
+		c.voidOpenOrders(ctx)
 		return false
 	}
 	if !c.orders.pending && !c.orders.unchecked {
@@ -231,11 +231,11 @@
 	return false
 }
 
-// voidFormerOrders makes the platform refuse the orders of former holders, and those of this
+// voidOpenOrders makes the platform refuse the orders of former holders, and those of this
 // instance without an answer, by ordering the present primary, unless another member may lead
 // or a replica is paused. It follows the first look after a claim by unfinishedRetryInterval,
 // which keeps the orders of two holders apart.
-func (c *primaryChange) voidFormerOrders(ctx context.Context) {
+func (c *primaryChange) voidOpenOrders(ctx context.Context) {
 	members, primary, _, _ := c.pool.snapshot()
 	// An order under the token of one without an answer voids nothing. While the store is down,
 	// such an order waits for the next claim.
