Ask replicas once for their logs if no commit lease was in force

An unplanned change that cannot fence an instance paused the replicas again after the end of the commit leases, also if these had ended before the first pauses. A replica that left in between stopped the change until the primary was back. Change: the replicas are asked again only if a lease ended after the calls that paused them. Measured: TestAnUnplannedChangeAsksOnceIfNoLeaseWasInForce sees two rounds of pauses without the change.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -64,6 +64,8 @@
 	// term is the newest term that a member knows.
 	term           uint64
 	pausedReplicas []Member
+	// pausedAt is when the calls of the last pauses began, on the clock of bootTime.
+	pausedAt time.Duration
 	// pausedAgain are the replicas that were paused after the promotion had been ordered.
 	pausedAgain []Member
 	// confirmedAt is when the successor was last confirmed to hold every commit, and
@@ -257,6 +259,7 @@
 // pauseAllBut pauses the replicas other than the successor, and returns the statuses of the
 // members that answered.
 func (c *primaryChange) pauseAllBut(ctx context.Context, successor Member) map[string]memberAnswer {
+	c.pausedAt = bootTime()
 	return c.callMembers(ctx, func(m Member) (statement.Statement, bool) {
 		switch m.ID {
 		case successor.ID:
@@ -319,10 +322,14 @@
 func (c *primaryChange) confirmFenced(ctx context.Context, members []poolMember, successor Member, statuses map[string]memberAnswer) bool {
 	isFenced := c.fenceCommits(ctx, c.decidingMember(successor, c.candidatesWithStatus(members, statuses)))
 	mayOrder := isFenced || c.stopPrimary(ctx, statuses)
-	if !mayOrder && !c.reason.IsPlanned() && c.awaitLeasesEnd(ctx) {
-		mayOrder, statuses = true, c.pauseAllBut(ctx, successor)
-		members, _, _, _ = c.pool.snapshot()
-		c.confirmedMembers = members
+	if !mayOrder && !c.reason.IsPlanned() {
+		var end time.Duration
+		end, mayOrder = c.awaitLeasesEnd(ctx)
+		if mayOrder && end >= c.pausedAt {
+			statuses = c.pauseAllBut(ctx, successor)
+			members, _, _, _ = c.pool.snapshot()
+			c.confirmedMembers = members
+		}
 	}
 	for range catchUpPolls {
 		candidates, ok := c.candidatesWithSuccessor(ctx, members, successor, statuses)
@@ -344,12 +351,12 @@
 	return false
 }
 
-// awaitLeasesEnd waits until the instances that cannot be fenced have no commit lease. What they
-// pass on after that is proven on the replicas, which are then asked for their logs. It returns
-// false if that takes longer than maxLeaseWait.
-func (c *primaryChange) awaitLeasesEnd(ctx context.Context) bool {
+// awaitLeasesEnd waits until the instances that cannot be fenced have no commit lease, and returns
+// the end of the last one. What they pass on after that is proven on the replicas, which must tell
+// their logs after it. It returns false if the wait takes longer than maxLeaseWait.
+func (c *primaryChange) awaitLeasesEnd(ctx context.Context) (end time.Duration, ended bool) {
 	if c.primary == "" {
-		return true
+		return 0, true
 	}
 	end, unconfirmed := c.controller.gw.peers.leasesEnd(c.orders.fence.confirmed)
 	wait := end - bootTime()
@@ -357,10 +364,10 @@
 		c.log().WithFields(logrus.Fields{"instances": unconfirmed, "waitMs": wait.Milliseconds()}).Info("waiting until instances that are not fenced have no commit lease")
 	}
 	if wait > maxLeaseWait {
-		return false
+		return end, false
 	}
 	sleep(ctx, wait+time.Millisecond)
-	return ctx.Err() == nil
+	return end, ctx.Err() == nil
 }
 
 // decidingMember returns the member that decides which commits are acknowledged behind the
--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -202,6 +202,24 @@
 	s.change(promotion.CutOff).run(context.Background())
 	g.Expect(s.orders).To(HaveLen(1))
 	g.Expect(ordered - heard).To(BeNumerically(">=", promotion.CommitLeaseDuration))
+	g.Expect(s.pauses).To(Equal(2), "the first logs were told before the lease had lapsed")
+}
+
+// Guards against a repeated question for logs that were told after all leases had lapsed: a
+// replica that has left in between would stop the change.
+func TestAnUnplannedChangeAsksOnceIfNoLeaseWasInForce(t *testing.T) {
+	g := NewWithT(t)
+	s := newStoppableGroup()
+	s.refusesDemote, s.index["primary"] = true, 9
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	s.a.peers.upsert(Instance{ID: "b", Started: s.b.started + 1, PeerAddress: silent.Addr().String()})
+	s.a.peers.byID["b"].aliveAt = bootTime() - promotion.CommitLeaseDuration
+	s.a.peers.gainedAt = bootTime() - promotion.CommitLeaseDuration
+	s.change(promotion.CutOff).run(context.Background())
+	g.Expect(s.orders).To(HaveLen(1))
+	g.Expect(s.pauses).To(Equal(1))
 }
 
 // Guards against an instance of a large fleet that relies on what a collector relays although the
