Wait for relayed commit leases from the moment the fence stands

Cause: found by reading. A change that cannot fence an instance of a large fleet waited for 3 s after the last report of it. A collector may renew the lease of that instance until the collector knows of the fence, up to a report interval later, so that the order could come up to a second too early. The wait also began anew with each report of an instance that was cut off already. Change: the wait ends 3 s after the fence was first set at the holder; renewals after that bring the fence with them. For the same reason it ends at most 1.5 s after that in a small fleet. A holder that knows of 16 other instances, also of dead ones, takes the longer duration. Measured: TestLeasesOfUnfencedInstancesAreWaitedFor fails without the change.

--- a/pkg/gateway/change.go
+++ b/pkg/gateway/change.go
@@ -43,7 +43,7 @@
 	maxSuccessorProofAge = 500 * time.Millisecond
 	// maxLeaseWait is how long a change waits for the end of commit leases before it looks
 	// again whether it is still needed.
-	maxLeaseWait = 1500 * time.Millisecond
+	maxLeaseWait = 2 * time.Second
 	// catchUpPolls is how often the successor is asked whether it has every commit.
 	catchUpPolls = 4
 	// maxUnprovenPeriod is how long an ordered successor may lack that proof before the change
@@ -358,7 +358,7 @@
 	if c.primary == "" {
 		return 0, true
 	}
-	end, unconfirmed := c.controller.gw.peers.leasesEnd(c.orders.fence.confirmed)
+	end, unconfirmed := c.controller.gw.peers.leasesEnd(c.orders.fence.confirmed, c.orders.fence.since)
 	wait := end - bootTime()
 	if wait > 0 {
 		c.log().WithFields(logrus.Fields{"instances": unconfirmed, "waitMs": wait.Milliseconds()}).Info("waiting until instances that are not fenced have no commit lease")
--- a/pkg/gateway/commitfence.go
+++ b/pkg/gateway/commitfence.go
@@ -34,9 +34,12 @@
 // orderedFence is the commit fence that the holder of the promotion lease has set for a
 // change; the zero value if there is none.
 type orderedFence struct {
-	stands    bool
-	successor string
-	setAt     time.Time
+	stands             bool
+	primary, successor string
+	setAt              time.Time
+	// since is when the fence was first set at this instance, on the clock of bootTime. Commit
+	// leases that are renewed later bring the fence with them.
+	since time.Duration
 	// instances is how many instances have confirmed the fence, and confirmed holds the peers
 	// among them, and those that have ended.
 	instances int
@@ -305,7 +308,11 @@
 	if c.primary == "" {
 		return false
 	}
-	c.orders.fence = orderedFence{stands: true, successor: successor, setAt: time.Now()}
+	former := c.orders.fence
+	c.orders.fence = orderedFence{stands: true, primary: c.primary, successor: successor, setAt: time.Now()}
+	if former.stands && former.primary == c.primary && former.successor == successor && time.Since(former.setAt) < commitFenceDuration {
+		c.orders.fence.since = former.since
+	}
 	positions, allAnswered := c.callFence(ctx, &pb.FenceCommitsRequest{Successor: successor, DurationMs: commitFenceDuration.Milliseconds()})
 	for _, at := range positions {
 		c.noteAcknowledged(at)
@@ -351,6 +358,9 @@
 		var own group.Position
 		own, ownAnswered = c.pool.fenceCommits(c.primary, request.Successor, order, commitFenceDuration)
 		positions = append(positions, own)
+		if c.orders.fence.since == 0 {
+			c.orders.fence.since = bootTime()
+		}
 	}
 	answers, failed := callReporters(ctx, c, func(ctx context.Context, client pb.Gate) (group.Position, error) {
 		r, err := client.FenceCommits(ctx, request)
--- a/pkg/gateway/commitlease.go
+++ b/pkg/gateway/commitlease.go
@@ -292,18 +292,27 @@
 }
 
 // leasesEnd returns the time until which instances that have not confirmed a fence may have a
-// commit lease, and their IDs.
-func (ps *peers) leasesEnd(confirmed map[string]bool) (end time.Duration, unconfirmed []string) {
-	duration, _ := ps.leaseDuration()
+// commit lease, and their IDs. The fence has stood at this instance since a time, and comes with
+// each renewal after that.
+func (ps *peers) leasesEnd(confirmed map[string]bool, since time.Duration) (end time.Duration, unconfirmed []string) {
+	duration, isRelayed := ps.leaseDuration()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
+	if len(ps.byID) >= maxFullMeshInstances {
+		// Others may count instances that this one takes for dead.
+		duration, isRelayed = promotion.RelayedCommitLeaseDuration, true
+	}
 	for id, p := range ps.byID {
 		if p.stopped || confirmed[id] {
 			continue
 		}
 		unconfirmed = append(unconfirmed, id)
-		if p.aliveAt > 0 {
-			end = max(end, p.aliveAt+duration)
+		switch {
+		case isRelayed:
+			// A collector may hear the instance after its last report of it.
+			end = max(end, since+duration)
+		case p.aliveAt > 0:
+			end = max(end, min(p.aliveAt, since)+duration)
 		}
 	}
 	if len(unconfirmed) > 0 {
--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -112,15 +112,26 @@
 		"never":     {},
 	}
 	confirmed := map[string]bool{"confirmed": true}
-	end, unconfirmed := a.peers.leasesEnd(confirmed)
+	since := 10 * time.Minute
+	end, unconfirmed := a.peers.leasesEnd(confirmed, since)
 	g.Expect(end).To(Equal(time.Minute + promotion.CommitLeaseDuration))
 	g.Expect(unconfirmed).To(ConsistOf("silent", "never"))
 
 	a.peers.gainedAt = time.Hour
-	end, _ = a.peers.leasesEnd(confirmed)
+	end, _ = a.peers.leasesEnd(confirmed, since)
 	g.Expect(end).To(Equal(time.Hour+promotion.CommitLeaseDuration), "a former holder may have renewed leases")
+	a.peers.gainedAt = 0
+	end, _ = a.peers.leasesEnd(confirmed, 30*time.Second)
+	g.Expect(end).To(Equal(30*time.Second+promotion.CommitLeaseDuration), "later renewals bring the fence")
+
+	for n := range maxFullMeshInstances {
+		a.peers.byID[fmt.Sprintf("m%02d", n)] = &peer{Instance: Instance{ID: fmt.Sprintf("m%02d", n), Started: 1}, lastHeard: time.Now(), stopped: true}
+	}
+	end, unconfirmed = a.peers.leasesEnd(confirmed, since)
+	g.Expect(end).To(Equal(since+promotion.RelayedCommitLeaseDuration), "a collector may have renewed the lease until then")
+	g.Expect(unconfirmed).To(ConsistOf("silent", "never"))
 	confirmed["silent"], confirmed["never"] = true, true
-	end, _ = a.peers.leasesEnd(confirmed)
+	end, _ = a.peers.leasesEnd(confirmed, since)
 	g.Expect(end).To(BeZero())
 }
 
@@ -133,7 +144,7 @@
 	h.a.peers.upsert(Instance{ID: "b", PeerAddress: strings.TrimPrefix(ended.URL, "http://"), Started: 1})
 	change := h.change(h.a, promotion.Unreachable, groupOrders{})
 	g.Expect(change.fenceCommits(context.Background(), "")).To(BeFalse(), "what it has passed on is not known")
-	_, unconfirmed := h.a.peers.leasesEnd(change.orders.fence.confirmed)
+	_, unconfirmed := h.a.peers.leasesEnd(change.orders.fence.confirmed, bootTime())
 	g.Expect(unconfirmed).To(BeEmpty())
 }
 
