--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -196,16 +196,23 @@
 	g.Expect(p.takesCommits("primary", now.Add(maxProofStall))).To(BeTrue(), "one is tried")
 }
 
-// Guards against an order for the successor of a primary that cannot be stopped while an instance
-// that cannot be fenced passes on acknowledgements without a proof.
-func TestAnUnplannedChangeWaitsForTheLeasesOfUnfencedInstances(t *testing.T) {
-	g := NewWithT(t)
+// newGroupBesideASilentInstance returns a group whose primary cannot be stopped and has commits
+// that no replica has, and one of whose instances answers no call.
+func newGroupBesideASilentInstance(t *testing.T) *stoppableGroup {
 	s := newStoppableGroup()
 	s.refusesDemote, s.index["primary"] = true, 9
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer silent.Close()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { silent.Close() })
 	s.a.peers.upsert(Instance{ID: "b", Started: s.b.started + 1, PeerAddress: silent.Addr().String()})
+	return s
+}
+
+// Guards against an order for the successor of a primary that cannot be stopped while an instance
+// that cannot be fenced passes on acknowledgements without a proof.
+func TestAnUnplannedChangeWaitsForTheLeasesOfUnfencedInstances(t *testing.T) {
+	g := NewWithT(t)
+	s := newGroupBesideASilentInstance(t)
 	heard := bootTime()
 	s.a.peers.byID["b"].aliveAt = heard
 	var ordered time.Duration
@@ -220,12 +227,7 @@
 // replica that has left in between would stop the change.
 func TestAnUnplannedChangeAsksOnceIfNoLeaseWasInForce(t *testing.T) {
 	g := NewWithT(t)
-	s := newStoppableGroup()
-	s.refusesDemote, s.index["primary"] = true, 9
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer silent.Close()
-	s.a.peers.upsert(Instance{ID: "b", Started: s.b.started + 1, PeerAddress: silent.Addr().String()})
+	s := newGroupBesideASilentInstance(t)
 	s.a.peers.byID["b"].aliveAt = bootTime() - promotion.CommitLeaseDuration
 	s.a.peers.gainedAt = bootTime() - promotion.CommitLeaseDuration
 	s.change(promotion.CutOff).run(context.Background())
