--- a/pkg/gateway/commitlease_test.go
+++ b/pkg/gateway/commitlease_test.go
@@ -268,3 +268,19 @@
 	_, isCollector := a.peers.collector()
 	g.Expect(a.peers.relayedFencesAge() > 0).To(Equal(isCollector))
 }
+
+// Guards against a wait that begins anew with each attempt at a change, and against one that
+// counts from a fence for another successor.
+func TestAFenceThatIsRepeatedHasStoodSinceTheFirstCall(t *testing.T) {
+	g := NewWithT(t)
+	h := newHandover()
+	change := h.change(h.a, promotion.Unreachable, groupOrders{})
+	change.fenceCommits(context.Background(), "r1")
+	since := change.orders.fence.since
+	g.Expect(since).To(BeNumerically(">", 0))
+	time.Sleep(time.Millisecond)
+	change.fenceCommits(context.Background(), "r1")
+	g.Expect(change.orders.fence.since).To(Equal(since))
+	change.fenceCommits(context.Background(), "r2")
+	g.Expect(change.orders.fence.since).To(BeNumerically(">", since))
+}
