Name prepared statements at members by a cryptographic hash

Cause: the name on shared connections was the XXH64 hash of the text and its length.

The new spec fails without the change (same name for both texts).

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"github.com/mulberrysill/mulberrysill/core/placement"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/group"
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/statement"
 	"github.com/mulberrysill/mulberrysill/core/verdict"
 )
@@ -351,7 +349,7 @@
 		return statement.Reply{}, false, err
 	}
 	if st.Kind == statement.Execute {
-		st.Name = memberStatementName(s.prepared[st.Name])
+		st.Name = s.prepared[st.Name].memberName
 	}
 	attempt := s.beginAttempt(st)
 	replies, err := p.exchange(conn, deadline, st)
@@ -382,8 +380,8 @@
 	}
 	if st.Kind == statement.Execute {
 		prepared := s.prepared[st.Name]
-		if name := memberStatementName(prepared); reset || !conn.prepared[name] {
-			out = append(out, statement.Statement{Kind: statement.Prepare, Name: name, IsWrite: prepared.isWrite, Argument: prepared.shape})
+		if reset || !conn.prepared[prepared.memberName] {
+			out = append(out, statement.Statement{Kind: statement.Prepare, Name: prepared.memberName, IsWrite: prepared.isWrite, Argument: prepared.shape})
 		}
 	}
 	return out
@@ -406,17 +404,6 @@
 	}
 }
 
-// memberStatementName derives a prepared statement's name on the member from
-// its content, so that sessions share it and the names of different clients
-// never collide.
-func memberStatementName(p preparedStatement) string {
-	kind := "r"
-	if p.isWrite {
-		kind = "w"
-	}
-	return "m" + kind + strconv.FormatUint(xxhash.Sum64String(p.shape), 36) + "x" + strconv.Itoa(len(p.shape))
-}
-
 // memberError converts a member's error to the client's error.
 func memberError(e *statement.Error) *verdict.Error {
 	code, v := verdict.OutcomeUnknown, verdict.MayHaveRun
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -341,7 +341,7 @@
 	s.startup = Startup{Database: r.Database, Key: r.Key}
 	s.settings = r.Values
 	if statement.Kind(r.Kind) == statement.Execute {
-		s.prepared = map[string]preparedStatement{r.Name: {r.PreparedWrite, r.PreparedShape}}
+		s.prepared = map[string]preparedStatement{r.Name: newPreparedStatement(r.PreparedWrite, r.PreparedShape)}
 	}
 	s.commits, s.committedGroup = relayedCommits(r), ""
 	s.member, s.waited = r.Member, min(max(time.Duration(r.WaitedUs)*time.Microsecond, 0), maxReportedWait)
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/base64"
 	"net"
 	"os"
 	"time"
@@ -31,6 +33,24 @@
 type preparedStatement struct {
 	isWrite bool
 	shape   string
+	// memberName is the statement's name on connections to members.
+	memberName string
+}
+
+// memberNameBytes is the number of bytes of the hash in memberName.
+const memberNameBytes = 24
+
+// newPreparedStatement derives the name on connections to members from the content, so that
+// sessions share it and the names of different clients never collide. The hash must be
+// cryptographic: with any other, a client can make up a statement that is taken for another
+// client's.
+func newPreparedStatement(isWrite bool, shape string) preparedStatement {
+	kind := "mr"
+	if isWrite {
+		kind = "mw"
+	}
+	sum := sha256.Sum256([]byte(shape))
+	return preparedStatement{isWrite, shape, kind + base64.RawURLEncoding.EncodeToString(sum[:memberNameBytes])}
 }
 
 // session serves one client. Its goroutine owns all fields.
@@ -276,7 +296,7 @@
 		if s.prepared == nil {
 			s.prepared = map[string]preparedStatement{}
 		}
-		s.prepared[st.Name] = preparedStatement{st.IsWrite, st.Argument}
+		s.prepared[st.Name] = newPreparedStatement(st.IsWrite, st.Argument)
 		return statement.Reply{}, nil
 	case statement.Deallocate:
 		if _, ok := s.prepared[st.Name]; !ok {
--- a/pkg/gateway/session_test.go
+++ b/pkg/gateway/session_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -85,6 +86,29 @@
 		Expect(a.query("DEALLOC s1")[0]).To(Equal("DONE -"))
 		Expect(a.query("EXEC s1 item")[0]).To(HavePrefix("ERR NOSTMT"))
 	})
+	// Guards against a client that runs the statement of another one because both texts have
+	// the same hash. These two have the same length and the same XXH64 hash.
+	It("keeps prepared statements apart whose texts have the same 64-bit hash", func() {
+		const one = "gws7p6tuvuhtgfs7uzawrcge29lhfu3dio63pmqekg1yw9nj77lmjmce8uc4of6a"
+		const other = "9o5wtyrcvuhtgfs7uzawrcge29lhfu3d7pZJuEqpkg1yw9nj77lmjmce8uc4of6a"
+		Expect(xxhash.Sum64String(one)).To(Equal(xxhash.Sum64String(other)))
+		d := newDeployment(1, 1000)
+		a, b := d.instances[0].session("workshop", "k1"), d.instances[0].session("workshop", "k1")
+		Expect(a.query("PREPARE s1 READ " + one)[0]).To(Equal("DONE -"))
+		Expect(b.query("PREPARE s1 READ " + other)[0]).To(Equal("DONE -"))
+		for range 5 {
+			Expect(a.query("EXEC s1 a")[0]).To(HavePrefix("ROW"))
+			Expect(b.query("EXEC s1 b")[0]).To(HavePrefix("ROW"))
+		}
+		names := map[string]string{} // by item
+		for _, r := range d.group.ExecutedStatements() {
+			if f := strings.Fields(r.Text); f[0] == "EXEC" {
+				names[f[2]] = f[1]
+			}
+		}
+		Expect(names).To(HaveLen(2))
+		Expect(names["a"]).NotTo(Equal(names["b"]))
+	})
 	It("commits and rolls back transactions, and isolates them from each other", func() {
 		d := newDeployment(1, 1000)
 		a, b := d.instances[0].session("orders", "k1"), d.instances[0].session("orders", "k1")
