Send fixed usage reports that earlier holders have left unsent

Cause: a new holder of the promotion lease sent the fixed reports of the last 6 windows again and took older ones for accepted. If the lease moved while calls of the platform failed, a report could stay unsent until it was older than that, and was lost, although nothing had died.

Change: a row of a report names the window before which every report had been accepted when it was written. A new holder sends the fixed reports from the newest such window on, besides those of the last 6 windows. Rows of earlier builds have no such window and are treated as before.

--- a/core/usage/action.go
+++ b/core/usage/action.go
@@ -11,7 +11,7 @@
 	// Gather asks for the counts of Action.Window (Combine). Answer: Gathered, also if no
 	// gatherer responded.
 	Gather
-	// Fix asks to write Action.Report to the store, and to delete the rows Action.Drop in
+	// Fix asks to write Action.Report and Action.AcceptedBefore to the store, and to delete the rows Action.Drop in
 	// the same transaction, if the window has no row yet (its row 0 is absent) and the
 	// promotion lease is unchanged. Answers: Fixed with what the store holds afterwards,
 	// FixRefused if the lease has changed, FixFailed otherwise.
@@ -69,6 +69,8 @@
 	Reason Reason
 	// Report is set for Fix and Send.
 	Report Report
+	// AcceptedBefore is FixedReport.AcceptedBefore of the report to write. Set for Fix.
+	AcceptedBefore Window
 	// Drop holds the keys of rows to delete, at most MaxDroppedRows. Set for Fix.
 	Drop []string
 	// Gathered says what the counts of a report that is fixed for the first time are based
--- a/core/usage/events.go
+++ b/core/usage/events.go
@@ -30,16 +30,36 @@
 		l.floor = windows[len(windows)-RetainedWindows]
 	}
 	l.next = max(l.oldest(), l.floor)
+	sendFrom := l.sendFrom(fixed)
 	for _, f := range fixed {
 		if f.Window < l.oldest() || l.givenUp[f.Window] {
 			continue
 		}
 		if k := l.record(f); k != nil {
-			k.accepted = k.accepted || f.Window < l.current-resendWindows
+			k.accepted = k.accepted || f.Window < sendFrom
 		}
 	}
 }
 
+// sendFrom returns the lowest window whose fixed report a new holder sends, unless it knows
+// that it was accepted. The newest row names the windows that earlier holders have left
+// unsent, but not what was sent after it was written.
+func (l *Ledger) sendFrom(fixed []FixedReport) Window {
+	from := l.current - resendWindows
+	var acceptedBefore Window
+	for _, f := range fixed {
+		// Windows in the future were written by a holder whose clock was ahead, which may
+		// have given up reports as too old.
+		if f.Window <= l.current {
+			acceptedBefore = max(acceptedBefore, f.AcceptedBefore)
+		}
+	}
+	if acceptedBefore == 0 {
+		return from
+	}
+	return min(from, acceptedBefore)
+}
+
 // record records what the store holds for a window and returns the known report, or nil if
 // the window is to be given up.
 func (l *Ledger) record(f FixedReport) *knownReport {
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -22,7 +22,7 @@
 	// of are asked for once: a new holder may have RetainedWindows empty windows to pass.
 	minEmptyGathers = 4
 	// resendWindows is the number of past windows whose fixed reports a new holder sends
-	// again.
+	// again. It sends older ones if the store does not say that they were accepted.
 	resendWindows = 6
 	// sendInterval is the minimum time between two calls of the platform. It leaves nine
 	// tenths of the platform's rate of 50 duty calls per second to other calls.
@@ -292,11 +292,12 @@
 	if now.Boot < l.fixAt {
 		return Action{}, l.fixAt
 	}
-	if _, err := r.Rows(l.era); err != nil {
+	acceptedBefore := l.firstUnaccepted()
+	if _, err := r.EncodeRows(l.era, acceptedBefore); err != nil {
 		l.giveUp(r.Window)
 		return Action{Kind: GiveUp, Window: r.Window, Last: r.Window, Reason: TooLarge, Gathered: g}, 0
 	}
-	a := Action{Kind: Fix, Window: r.Window, Report: r, Gathered: g}
+	a := Action{Kind: Fix, Window: r.Window, Report: r, AcceptedBefore: acceptedBefore, Gathered: g}
 	l.dropping = l.droppable(r.Window)
 	for _, old := range l.dropping {
 		a.Drop = append(a.Drop, FixedReport{Report: Report{Window: old}, Rows: l.rows[old]}.RowKeys()...)
@@ -328,11 +329,18 @@
 	if !l.holding {
 		return 0, false
 	}
+	w := l.firstUnaccepted()
+	return w, w < l.current
+}
+
+// firstUnaccepted returns the oldest window for which a report may still be sent and has not
+// been accepted.
+func (l *Ledger) firstUnaccepted() Window {
 	w := l.next
 	for known, k := range l.known {
 		if !k.accepted {
 			w = min(w, known)
 		}
 	}
-	return w, w < l.current
+	return w
 }
--- a/core/usage/property_test.go
+++ b/core/usage/property_test.go
@@ -20,8 +20,8 @@
 	completenessPlays  = 500
 	worldSteps         = 150
 	// calmOutage is the longest outage of a calm world, in which the same outage does not
-	// come again within as much time. A new holder sends the reports of resendWindows
-	// (30 s) again, so that longer outages may lose reports.
+	// come again within as much time. Reports that stay unsent for RetainedWindows are given
+	// up, so that longer outages may lose them.
 	calmOutage = 10 * time.Second
 	// calmTenure is the minimum time between two claims of the lease in a calm world.
 	calmTenure = 3250 * time.Millisecond
--- a/core/usage/rows.go
+++ b/core/usage/rows.go
@@ -39,6 +39,9 @@
 	Era uint64
 	// Rows is the number of rows that the report takes.
 	Rows int
+	// AcceptedBefore is a window before which the platform had accepted every report when
+	// this one was written. It is 0 if the writer did not say.
+	AcceptedBefore Window
 }
 
 // Row is a row of the table that holds the fixed reports.
@@ -51,8 +54,9 @@
 type rowValue struct {
 	Era uint64 `json:"era,omitempty"`
 	// Rows is the number of rows of the report.
-	Rows   int    `json:"rows"`
-	Counts Counts `json:"counts"`
+	Rows           int    `json:"rows"`
+	AcceptedBefore Window `json:"acceptedBefore,omitempty"`
+	Counts         Counts `json:"counts"`
 }
 
 // RowKey returns the key of a row of a window's report. The first row has index 0.
@@ -83,10 +87,10 @@
 	return Window(w), i, nil
 }
 
-// Rows encodes the report as rows of at most MaxRowBytes each, at most MaxReportRows. Equal
-// reports have equal rows. era is the era of the lease under which the rows are written.
-// The error is ErrTooLarge.
-func (r Report) Rows(era uint64) ([]Row, error) {
+// EncodeRows encodes the report as rows of at most MaxRowBytes each, at most MaxReportRows.
+// Equal arguments give equal rows. era is the era of the lease under which the rows are
+// written, and acceptedBefore is FixedReport.AcceptedBefore. The error is ErrTooLarge.
+func (r Report) EncodeRows(era uint64, acceptedBefore Window) ([]Row, error) {
 	chunks := []Counts{{}}
 	size := rowOverheadBytes
 	for _, workspace := range slices.Sorted(maps.Keys(r.Counts)) {
@@ -110,7 +114,7 @@
 	}
 	rows := make([]Row, len(chunks))
 	for i, counts := range chunks {
-		value, err := json.Marshal(rowValue{era, len(chunks), counts})
+		value, err := json.Marshal(rowValue{era, len(chunks), acceptedBefore, counts})
 		if err != nil {
 			return nil, errors.Wrap(err, "usage report")
 		}
@@ -169,7 +173,7 @@
 		case v.Rows <= index || p.seen[index]:
 			p.err = errors.Newf("the report of window %d has an unexpected row %d", w, index)
 		}
-		p.report.Rows, p.report.Era = v.Rows, v.Era
+		p.report.Rows, p.report.Era, p.report.AcceptedBefore = v.Rows, v.Era, v.AcceptedBefore
 		p.seen[index] = true
 		p.count++
 		p.report.Counts.add(v.Counts)
--- a/core/usage/rows_test.go
+++ b/core/usage/rows_test.go
@@ -22,7 +22,7 @@
 var _ = Describe("rows of a report", func() {
 	It("hold the report of a large site in rows that the store accepts, and give it back in any order", func() {
 		report := usage.Report{Window: 353445120, Counts: workspaces(13000)}
-		rows, err := report.Rows(3)
+		rows, err := report.EncodeRows(3, 5)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(rows)).To(BeNumerically(">", 1))
 		for _, row := range rows {
@@ -31,17 +31,17 @@
 		slices.Reverse(rows)
 		reports, err := usage.ParseRows(rows)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(reports).To(Equal([]usage.FixedReport{{Report: report, Era: 3, Rows: len(rows)}}))
+		Expect(reports).To(Equal([]usage.FixedReport{{Report: report, Era: 3, Rows: len(rows), AcceptedBefore: 5}}))
 		keys := reports[0].RowKeys()
 		for i, row := range rows {
 			Expect(row.Key).To(Equal(keys[len(keys)-1-i]))
 		}
 	})
 	It("are the same each time, so that a repeated report is an exact repeat", func() {
-		first, err := usage.Report{Window: 7, Counts: workspaces(9000)}.Rows(0)
+		first, err := usage.Report{Window: 7, Counts: workspaces(9000)}.EncodeRows(0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		for range 10 {
-			again, err := usage.Report{Window: 7, Counts: workspaces(9000)}.Rows(0)
+			again, err := usage.Report{Window: 7, Counts: workspaces(9000)}.EncodeRows(0, 0)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(again).To(Equal(first))
 		}
@@ -51,20 +51,20 @@
 		for i := range 4000 {
 			counts[fmt.Sprintf("\x01<\x02>%d", i)] = 1
 		}
-		rows, err := usage.Report{Window: 7, Counts: counts}.Rows(1 << 15)
+		rows, err := usage.Report{Window: 7, Counts: counts}.EncodeRows(1<<15, 0)
 		Expect(err).NotTo(HaveOccurred())
 		for _, row := range rows {
 			Expect(len(row.Value)).To(BeNumerically("<=", usage.MaxRowBytes))
 		}
 	})
 	It("are refused for a report that does not fit into one transaction", func() {
-		_, err := usage.Report{Window: 7, Counts: workspaces(60000)}.Rows(0)
+		_, err := usage.Report{Window: 7, Counts: workspaces(60000)}.EncodeRows(0, 0)
 		Expect(err).To(MatchError(usage.ErrTooLarge))
 	})
 	It("are no report while one is missing, repeated or unreadable, and the other windows are returned", func() {
-		rows, err := usage.Report{Window: 7, Counts: workspaces(9000)}.Rows(0)
+		rows, err := usage.Report{Window: 7, Counts: workspaces(9000)}.EncodeRows(0, 0)
 		Expect(err).NotTo(HaveOccurred())
-		other, err := usage.Report{Window: 8, Counts: usage.Counts{"a": 1}}.Rows(0)
+		other, err := usage.Report{Window: 8, Counts: usage.Counts{"a": 1}}.EncodeRows(0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		for _, damaged := range [][]usage.Row{
 			rows[1:],
--- a/core/usage/takeover_test.go
+++ b/core/usage/takeover_test.go
@@ -26,6 +26,15 @@
 	return h, h.expect(usage.Send, first)
 }
 
+// unsentFrom returns the windows from w up to the one before the first window.
+func unsentFrom(w usage.Window) []usage.Window {
+	var windows []usage.Window
+	for ; w < first; w++ {
+		windows = append(windows, w)
+	}
+	return windows
+}
+
 var _ = Describe("a new holder", func() {
 	It("sends the fixed reports of the last 6 windows as the store holds them, and builds only windows without rows", func() {
 		h := newHolder(-4*time.Second, earlier(first-1, 25)...)
@@ -35,6 +44,42 @@
 		Expect(h.resend()).To(Equal([]usage.Window{first - 5, first - 4, first - 3, first - 2, first - 1}))
 		h.expectWait(time.Second)
 	})
+	// Guards against a report that stays unsent because the lease has moved while the
+	// platform refused calls for longer than 6 windows.
+	It("sends older fixed reports that no earlier holder has seen accepted", func() {
+		fixed := earlier(first-1, 25)
+		for i := range fixed {
+			fixed[i].AcceptedBefore = first - 12
+		}
+		h := newHolder(-4*time.Second, fixed...)
+		Expect(h.resend()).To(Equal(unsentFrom(first - 12)))
+	})
+	It("does not believe a holder whose clock was ahead that older reports are settled", func() {
+		fixed := earlier(first-1, 25)
+		fixed[24].AcceptedBefore = first - 12
+		ahead := earlier(first+40, 1)[0]
+		ahead.AcceptedBefore = first + 40
+		h := newHolder(-4*time.Second, append(fixed, ahead)...)
+		Expect(h.resend()).To(Equal(append(unsentFrom(first-12), ahead.Window)))
+	})
+	It("says in the store which reports were not accepted, its own and those of earlier holders", func() {
+		fixed := earlier(first-1, 25)
+		fixed[24].AcceptedBefore = first - 12
+		h := newHolder(time.Second, fixed...)
+		a := h.expect(usage.Send, first-12)
+		h.SendFailed(a.ID, h.now(), 0)
+		a = h.expect(usage.Gather, first)
+		h.Gathered(a.ID, h.now(), gatheredCounts(7))
+		a = h.expect(usage.Fix, first)
+		Expect(a.AcceptedBefore).To(Equal(first - 12))
+		h.Fixed(a.ID, h.now(), stored(a.Report))
+		h.at += time.Second
+		Expect(h.resend()).To(HaveLen(13))
+		h.at = (first + 1).End(windowLength) + time.Second
+		a = h.expect(usage.Gather, first+1)
+		h.Gathered(a.ID, h.now(), gatheredCounts(7))
+		Expect(h.expect(usage.Fix, first+1).AcceptedBefore).To(Equal(first + 1))
+	})
 	It("builds no window whose row may have been deleted", func() {
 		h := newHolder(-4*time.Second, earlier(first+20, usage.RetainedWindows)...)
 		for range 20 {
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -305,7 +305,7 @@
 	if exists && w.variant != buildAgain || w.store.lease.version != token.Version() {
 		return false
 	}
-	rows, err := a.Report.Rows(claimedIn)
+	rows, err := a.Report.EncodeRows(claimedIn, a.AcceptedBefore)
 	if err != nil {
 		w.violate("%v", err)
 		return false
--- a/pkg/gateway/usageholder_test.go
+++ b/pkg/gateway/usageholder_test.go
@@ -69,7 +69,7 @@
 	return p.duty, nil
 }
 
-func (p *usagePlatform) FixUsage(_ context.Context, duty Duty, report usage.Report, _ []string) (usage.FixedReport, error) {
+func (p *usagePlatform) FixUsage(_ context.Context, duty Duty, report usage.Report, acceptedBefore usage.Window, _ []string) (usage.FixedReport, error) {
 	p.mu.Lock()
 	before, after := p.before, p.after
 	p.mu.Unlock()
@@ -78,21 +78,21 @@
 			return usage.FixedReport{}, err
 		}
 	}
-	fixed, err := p.fix(duty, report)
+	fixed, err := p.fix(duty, report, acceptedBefore)
 	if after != nil && err == nil {
 		err = after(duty.Holder)
 	}
 	return fixed, err
 }
 
-func (p *usagePlatform) fix(duty Duty, report usage.Report) (usage.FixedReport, error) {
+func (p *usagePlatform) fix(duty Duty, report usage.Report, acceptedBefore usage.Window) (usage.FixedReport, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if duty.Token != p.duty.Token {
 		return usage.FixedReport{}, ErrConflict
 	}
 	if _, ok := p.rows[report.Window]; !ok {
-		p.rows[report.Window] = usage.FixedReport{Report: report, Era: duty.Token.Era(), Rows: 1}
+		p.rows[report.Window] = usage.FixedReport{Report: report, Era: duty.Token.Era(), Rows: 1, AcceptedBefore: acceptedBefore}
 	}
 	return p.rows[report.Window], nil
 }
@@ -222,7 +222,7 @@
 	g.Expect(p.callsOf("a")).To(BeEmpty())
 	g.Expect(p.callsOf("b")[0].report.Window).To(BeNumerically("<=", first+1), "the window that a wanted to fix")
 	late := p.callsOf("b")[0].report.Window + 100
-	_, err := p.fix(former, usage.Report{Window: late, Counts: usage.Counts{"coop": 7}})
+	_, err := p.fix(former, usage.Report{Window: late, Counts: usage.Counts{"coop": 7}}, 0)
 	g.Expect(err).To(MatchError(ErrConflict))
 	g.Expect(p.contradictions()).To(BeZero())
 }
--- a/pkg/gateway/usageprotocol.go
+++ b/pkg/gateway/usageprotocol.go
@@ -11,11 +11,11 @@
 // UsageStore holds the fixed usage reports: those whose counts have been written to the
 // store. A window has at most one, whoever wrote it, and nothing else is sent for it.
 type UsageStore interface {
-	// FixUsage writes the report, and deletes the rows with the keys in drop, if the window
+	// FixUsage writes the report with acceptedBefore (usage.FixedReport), and deletes the rows with the keys in drop, if the window
 	// has no report yet and the promotion lease is unchanged. It returns the report that the
 	// store then holds for the window. It returns ErrConflict if the lease has changed; after
 	// any other error the report may have been written.
-	FixUsage(ctx context.Context, duty Duty, report usage.Report, drop []string) (usage.FixedReport, error)
+	FixUsage(ctx context.Context, duty Duty, report usage.Report, acceptedBefore usage.Window, drop []string) (usage.FixedReport, error)
 	// FixedUsage returns all fixed reports, of one era. If some cannot be decoded, it returns
 	// the others with a *usage.UndecodableError.
 	FixedUsage(ctx context.Context) ([]usage.FixedReport, error)
--- a/pkg/gateway/usagereport.go
+++ b/pkg/gateway/usagereport.go
@@ -276,7 +276,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	asked := bootTime()
-	fixed, err := h.gw.cfg.UsageStore.FixUsage(callCtx, duty, a.Report, a.Drop)
+	fixed, err := h.gw.cfg.UsageStore.FixUsage(callCtx, duty, a.Report, a.AcceptedBefore, a.Drop)
 	conflict := errors.Is(err, ErrConflict)
 	if conflict {
 		if _, readErr := h.gw.controller.readDuty(callCtx); readErr != nil {
