Send nothing after a write that has failed

Cause: a connection to a member that was given up in the middle of a message got QUIT and a line ending, which completed the part that had passed.

--- a/pkg/backend/peek_unix.go
+++ b/pkg/backend/peek_unix.go
@@ -2,17 +2,14 @@
 
 package backend
 
-import (
-	"net"
-	"syscall"
-)
+import "syscall"
 
 // isHealthyIdle reports whether an idle connection is open and has no unread input.
 // Input on an idle connection is an error message or the end of the stream, because
 // the member has closed it. The socket is peeked at without consuming input and
 // without blocking. A connection that is not a socket is assumed to be healthy.
-func isHealthyIdle(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
+func isHealthyIdle(conn *guardedConn) bool {
+	sc, ok := conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/pkg/backend/server_conn.go
+++ b/pkg/backend/server_conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +18,7 @@
 // serverConn is an authenticated connection to a member. It is not safe for concurrent
 // use.
 type serverConn struct {
-	conn     net.Conn
+	conn     *guardedConn
 	frontend *pgproto3.Frontend
 	params   map[string]string
 	pid      uint32
@@ -40,10 +39,11 @@
 
 // connect opens and authenticates a connection. The context bounds both.
 func connect(ctx context.Context, cfg *Config, address string, params map[string]string) (*serverConn, error) {
-	conn, err := cfg.Dial(ctx, "tcp", address)
+	socket, err := cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
+	conn := &guardedConn{Conn: socket}
 	c := &serverConn{conn: conn, frontend: pgproto3.NewFrontend(conn, conn), params: map[string]string{}}
 	all := map[string]string{"user": cfg.User}
 	maps.Copy(all, params)
