--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -160,7 +160,7 @@
 			p.release(conn, false)
 			last = err
 			if sent {
-				return statement.Reply{}, verdict.New(verdict.MayHaveRun, verdict.OutcomeUnknown, "no answer from member %s", conn.member.ID).WithCause(err)
+				return statement.Reply{}, verdict.New(verdict.MayHaveRun, verdict.OutcomeUnknown, "no answer from member %s", conn.memberID).WithCause(err)
 			}
 			if e := new(verdict.Error); errors.As(err, &e) {
 				return statement.Reply{}, e
@@ -295,7 +295,7 @@
 			if req.excluded == nil {
 				req.excluded = map[string]bool{}
 			}
-			req.excluded[conn.member.ID] = true
+			req.excluded[conn.memberID] = true
 		}
 	}
 	if e := new(verdict.Error); errors.As(last, &e) {
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -301,7 +301,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.positionSamples.Observe(asked, at)
-	p.setPrimary(c.member.ID, at.Term)
+	p.setPrimary(c.memberID, at.Term)
 }
 
 // recordCommit records the position of an acknowledged commit.
--- a/pkg/gateway/transaction.go
+++ b/pkg/gateway/transaction.go
@@ -167,7 +167,7 @@
 		if req.excluded == nil {
 			req.excluded = map[string]bool{}
 		}
-		req.excluded[conn.member.ID] = true
+		req.excluded[conn.memberID] = true
 	}
 	return notRun(verdict.QueueFull, "no member accepted the transaction").WithRetryAfter(refusalRetryAfter).WithCause(last)
 }
@@ -191,7 +191,7 @@
 	// A floor already rules out a former primary, whose log ends before it.
 	var check *leadershipCheck
 	if !begin.ReadOnly && begin.AfterPosition.IsZero() {
-		check = p.checkLeadership(conn.member.ID, conn.workspace)
+		check = p.checkLeadership(conn.memberID, conn.workspace)
 	}
 	replies, err := p.exchange(conn, deadline, append(setup, begin)...)
 	if err != nil {
@@ -240,7 +240,7 @@
 // handleLostAnswer handles a statement that got no response. Closing the
 // connection rolls back the transaction unless a commit arrived before.
 func (s *session) handleLostAnswer(st statement.Statement, sent bool, cause error) error {
-	member := s.tx.conn.member.ID
+	member := s.tx.conn.memberID
 	s.tx.pool.release(s.tx.conn, false)
 	wrote := s.tx.hasWritten
 	s.tx.conn, s.tx = nil, nil
@@ -263,7 +263,7 @@
 	e := memberError(reply.Err)
 	if reply.Err.Code == statement.ReadOnly {
 		s.tx.pool.recordNotPrimary(s.tx.conn.memberID)
-		e = verdict.New(verdict.NotRun, verdict.TransactionAborted, "member %s is no longer primary; the transaction is rolled back", s.tx.conn.member.ID)
+		e = verdict.New(verdict.NotRun, verdict.TransactionAborted, "member %s is no longer primary; the transaction is rolled back", s.tx.conn.memberID)
 	}
 	if st.Kind == statement.Commit && !reply.Err.NotRun() {
 		e = verdict.New(verdict.MayHaveRun, verdict.OutcomeUnknown, "the commit failed: %s", reply.Err.Text)
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -186,7 +186,7 @@
 // primary, and an error with the cause errUnconfirmed if that is not known.
 func (p *pool) proveLeadership(c *pooledConn, deadline time.Time, setup ...statement.Statement) (bool, error) {
 	asked := bootTime()
-	check := p.checkLeadership(c.member.ID, c.workspace)
+	check := p.checkLeadership(c.memberID, c.workspace)
 	statements := append(setup, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
 	replies, err := p.exchange(c, deadline, statements...)
 	if err != nil {
