Refuse relayed statements that an older configuration treats otherwise

Cause: a relayed statement named its database and key, and the receiver resolved both again.

Change: the request carries the version of the sender's configuration and a digest of the route and the workspace. A receiver whose configuration is older and decides otherwise refuses the statement as not run, and the sender runs it itself. Only the first statement of a transaction is checked.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -5,10 +5,13 @@
 package catalog
 
 import (
+	"encoding/binary"
+	"math"
 	"strings"
 	"time"
 	"unicode"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrysill/mulberrysill/core/verdict"
@@ -148,6 +151,26 @@
 // anonymousWorkspace is the workspace of clients without a key on open routes.
 var anonymousWorkspace = &Workspace{Name: "anonymous"}
 
+// Decision returns a digest of a route and a workspace, without the keys. Instances compare
+// it to find out whether two configurations decide alike; it is not secure.
+func Decision(route *Route, workspace *Workspace) uint64 {
+	var buffer [256]byte
+	b := buffer[:0]
+	for _, text := range []string{route.Name, route.Database, route.Group, workspace.Name} {
+		b = append(binary.AppendUvarint(b, uint64(len(text))), text...)
+	}
+	for _, n := range []uint64{
+		uint64(route.Consistency), uint64(route.StatementTimeout), uint64(route.TargetLatency), uint64(route.MaxStaleness),
+		uint64(route.Priority), math.Float64bits(workspace.Rate), math.Float64bits(workspace.Burst),
+	} {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	if route.Open {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
 // IsName reports whether the text can be a field of a message whose fields are separated by
 // blanks and which ends with the line.
 func IsName(text string) bool {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrysill/mulberrysill/core/catalog"
 	"github.com/mulberrysill/mulberrysill/core/consistency"
 	"github.com/mulberrysill/mulberrysill/core/group"
 	"github.com/mulberrysill/mulberrysill/core/membership"
@@ -113,15 +114,31 @@
 // locally.
 var errNotRunAtPeer = errors.New("the statement did not run at the peer")
 
+// relayCall says where and how a statement is relayed.
+type relayCall struct {
+	to        *peer
+	pool      *pool
+	member    string
+	route     *catalog.Route
+	workspace *catalog.Workspace
+	// begin is set for the first statement of a transaction.
+	begin   bool
+	charge  bool
+	timeout time.Duration
+}
+
 // relay sends a statement to a peer. The error is a *verdict.Error if the peer
 // refused or failed the statement, and the error of the call if the peer did
 // not respond.
-func (s *session) relay(ctx context.Context, to *peer, p *pool, member string, st statement.Statement, begin, charge bool, timeout time.Duration, rec *requestRecord) (statement.Reply, error) {
+func (s *session) relay(ctx context.Context, call relayCall, st statement.Statement, rec *requestRecord) (statement.Reply, error) {
 	request := &pb.RunRequest{
 		From: s.gw.cfg.ID + "/" + strconv.FormatInt(s.gw.started, 36), Database: s.startup.Database, Key: s.startup.Key,
-		Begin: begin, Charge: charge, Id: st.ID, Kind: uint32(st.Kind), Name: st.Name, Argument: st.Argument, Text: st.Text, Values: s.settings,
+		Begin: call.begin, Charge: call.charge, Id: st.ID, Kind: uint32(st.Kind), Name: st.Name, Argument: st.Argument, Text: st.Text, Values: s.settings,
+	}
+	s.storeCommits(request, call.pool.name)
+	if c := s.gw.currentConfig.Load(); c != nil && (s.tx == nil || call.begin) {
+		request.ConfigVersion, request.Decision = c.Version(), catalog.Decision(call.route, call.workspace)
 	}
-	s.storeCommits(request, p.name)
 	mayRepeat := !s.isWrite(st)
 	if s.tx != nil {
 		request.Transaction, request.ReadOnly = s.tx.relayID, s.tx.readOnly
@@ -131,32 +148,32 @@
 	if st.Kind == statement.Execute {
 		request.PreparedWrite, request.PreparedShape = s.prepared[st.Name].isWrite, s.prepared[st.Name].shape
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+relayTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, call.timeout+relayTimeoutMargin)
 	defer cancel()
-	if request.Member = member; member != "" {
+	if request.Member = call.member; call.member != "" {
 		request.WaitedUs = time.Since(rec.started).Microseconds()
 		giveUp := cancel
 		if !mayRepeat {
 			giveUp = func() {} // its outcome has to be awaited
 		}
-		defer s.gw.peers.watchRelay(to, giveUp).stop()
+		defer s.gw.peers.watchRelay(call.to, giveUp).stop()
 	}
 	attempt := s.beginAttempt(st)
-	answer, err := to.client.Run(ctx, request)
+	answer, err := call.to.client.Run(ctx, request)
 	s.endRelayedAttempt(attempt, rec.workspace, answer, err)
 	if err != nil {
 		// If members have serving sets, a peer that left a slow statement without an answer
 		// still serves others; watchRelay finds those that have stopped.
-		if member == "" || isDialError(err) {
-			s.gw.peers.markSuspect(to)
+		if call.member == "" || isDialError(err) {
+			s.gw.peers.markSuspect(call.to)
 		}
 		return statement.Reply{}, err
 	}
-	to.noteResponse()
-	if member != "" {
-		p.noteTarget(member, time.Duration(answer.ExpectedWaitUs)*time.Microsecond, false)
+	call.to.noteResponse()
+	if call.member != "" {
+		call.pool.noteTarget(call.member, time.Duration(answer.ExpectedWaitUs)*time.Microsecond, false)
 	}
-	rec.member, rec.attempts, rec.relay = answer.Member, rec.attempts+int(answer.Attempts), to.ID
+	rec.member, rec.attempts, rec.relay = answer.Member, rec.attempts+int(answer.Attempts), call.to.ID
 	s.state, s.committedGroup = statement.State(answer.State), answer.Group
 	if answer.Code != "" {
 		e := verdict.New(verdict.Verdict(answer.Verdict), verdict.Code(answer.Code), "%s", answer.Message)
@@ -175,7 +192,9 @@
 	if !isWrite {
 		deadline = readAttemptDeadline(op.route, deadline)
 	}
-	reply, err := s.relay(ctx, to, op.pool, op.member, op.Statement, false, charge, time.Until(deadline), op.rec)
+	reply, err := s.relay(ctx, relayCall{
+		to: to, pool: op.pool, member: op.member, route: op.route, workspace: op.workspace, charge: charge, timeout: time.Until(deadline),
+	}, op.Statement, op.rec)
 	e := new(verdict.Error)
 	switch {
 	case err == nil && isWrite:
@@ -218,7 +237,10 @@
 	isWrite := s.isWrite(st)
 	tx.hasWritten = tx.hasWritten || isWrite
 	deadline := s.gw.answerDeadline(time.Now().Add(statementTimeout(tx.route)))
-	reply, err := s.relay(ctx, tx.peer, tx.pool, tx.member, st, begin, begin && tx.uncharged, time.Until(deadline), rec)
+	reply, err := s.relay(ctx, relayCall{
+		to: tx.peer, pool: tx.pool, member: tx.member, route: tx.route, workspace: tx.workspace,
+		begin: begin, charge: begin && tx.uncharged, timeout: time.Until(deadline),
+	}, st, rec)
 	e := new(verdict.Error)
 	switch {
 	case err == nil:
@@ -305,6 +327,11 @@
 	// Cancelling the peer's call must not cancel a statement in progress,
 	// since its outcome decides the state of the session's transaction.
 	ctx := g.statementCtx
+	if r.Transaction == 0 || r.Begin {
+		if err := g.checkDecision(r); err != nil {
+			return (&session{gw: g}).relayResponse(statement.Reply{}, err, &rec), nil
+		}
+	}
 	if r.Transaction == 0 {
 		s := &session{gw: g, isRelayed: true, chargeRelayed: r.Charge}
 		s.loadRelayed(r)
@@ -329,6 +356,22 @@
 	return s.relayResponse(reply, err, &rec), nil
 }
 
+// checkDecision refuses a statement that the sender's configuration treats otherwise than the
+// older one of this instance. The sender then runs it itself.
+func (g *Gateway) checkDecision(r *pb.RunRequest) error {
+	c := g.currentConfig.Load()
+	if r.ConfigVersion == 0 || c != nil && c.Version() >= r.ConfigVersion {
+		return nil
+	}
+	if c != nil {
+		route, workspace, err := c.catalog.Authorize(r.Database, r.Key)
+		if err == nil && catalog.Decision(route, workspace) == r.Decision {
+			return nil
+		}
+	}
+	return notRun(verdict.NoSuchRoute, "the route of configuration "+strconv.FormatUint(r.ConfigVersion, 10)+" is not known here yet")
+}
+
 func (g *Gateway) relayedIdleTimeout() time.Duration {
 	if c := g.currentConfig.Load(); c != nil && c.catalog.IdleInTransaction() > 0 {
 		return c.catalog.IdleInTransaction() + time.Second
