Bound the memory of large statements

Cause: Go was told no memory limit, and nothing bounded the bytes of statements that are read and wait.

Change: the setting memoryMb gives Go's memory limit, and shares of it for statements above 16 KiB: outside transactions, in open transactions, and relayed ones. A statement that has no memory is not read on; after 1 s it is refused as not run, and its rest is discarded. Workspaces share the memory fairly.

Small statements are read without further allocations.

--- a/cmd/mulberrygate/main.go
+++ b/cmd/mulberrygate/main.go
@@ -7,10 +7,10 @@
 	"cmp"
 	"context"
 	"fmt"
-	"github.com/mulberrysill/mulberrysill/core/placement"
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/mulberrysill/mulberrysill/core/placement"
 	"github.com/mulberrysill/mulberrysill/core/quota"
 	"github.com/mulberrysill/mulberrysill/pkg/config"
 	"github.com/mulberrysill/mulberrysill/pkg/gateway"
@@ -88,11 +89,12 @@
 	if err != nil {
 		return err
 	}
+	memory := limitMemory(settings.MemoryMB)
 	store, duties := platform.NewStore(settings.StoreAddress), platform.NewPromoter(settings.DutyAddress)
 	cfg := gateway.Config{
 		ID: settings.ID, Zone: settings.Zone, Capacity: settings.Capacity, PeerAddress: cmp.Or(settings.PeerAdvertisedAddress, settings.PeerAddress),
 		RevocationBound: time.Duration(settings.RevocationBound), GracePeriod: time.Duration(settings.GracePeriod),
-		FirstStart: settings.FirstStart, ServingScope: scope,
+		FirstStart: settings.FirstStart, ServingScope: scope, MemoryLimit: memory,
 		LimitTolerance: quota.Tolerance{
 			Window: time.Duration(settings.LimitTolerance.Window), Overage: settings.LimitTolerance.Overage, Slack: settings.LimitTolerance.Slack,
 		},
@@ -121,6 +123,18 @@
 	return gateway.New(cfg).Run(ctx)
 }
 
+// memoryLimitShare is the part of the machine's memory at which the garbage collector works
+// harder. The rest is for memory that the Go runtime does not count: the program itself, and
+// bytes in sockets.
+const memoryLimitShare = 0.7
+
+// limitMemory sets the memory limit of the Go runtime and returns it in bytes.
+func limitMemory(mb int64) int64 {
+	limit := int64(memoryLimitShare * float64(mb<<20))
+	debug.SetMemoryLimit(limit)
+	return limit
+}
+
 func listen(address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	return l, errors.Wrapf(err, "listen on %s", address)
--- a/pkg/config/gate.go
+++ b/pkg/config/gate.go
@@ -31,6 +31,11 @@
 	minUsageLateness, maxUsageLateness = 5 * time.Second, 24 * time.Hour
 	// maxCapacity is in cores.
 	maxCapacity = 1024
+	// DefaultMemoryMB suits the smallest machines that are supported.
+	DefaultMemoryMB = 256
+	// minMemoryMB is what a small instance needs without large statements, and maxMemoryMB is
+	// 1 TiB.
+	minMemoryMB, maxMemoryMB = 64, 1 << 20
 )
 
 // GateSettings are the settings of one gateway daemon.
@@ -42,6 +47,8 @@
 	// Capacity is the processor share of the machine, in cores; 0 if unknown. In a fleet
 	// of unequal machines, those with more capacity do more of the common work.
 	Capacity float64 `yaml:"capacity"`
+	// MemoryMB is the memory in MiB that the process may use before the machine ends it.
+	MemoryMB int64 `yaml:"memoryMb"`
 	// ClientAddress, ReadinessAddress and PeerAddress are IP addresses with ports
 	// to listen on; MetricsAddress may be empty.
 	ClientAddress    string `yaml:"clientAddress"`
@@ -106,7 +113,7 @@
 // names the file, the line and the field of each invalid value.
 func ParseGate(path string, data []byte) (GateSettings, error) {
 	s := GateSettings{
-		RevocationBound: Duration(DefaultRevocationBound), GracePeriod: Duration(DefaultGracePeriod), ServingScope: placement.ServingByGroup.String(), LogLevel: DefaultLogLevel,
+		MemoryMB: DefaultMemoryMB, RevocationBound: Duration(DefaultRevocationBound), GracePeriod: Duration(DefaultGracePeriod), ServingScope: placement.ServingByGroup.String(), LogLevel: DefaultLogLevel,
 	}
 	err := decode(path, data, &s, func() []fieldError { return s.validate() })
 	return s, err
@@ -122,6 +129,7 @@
 	check(s.ID != "", "id", "must not be empty")
 	check(s.Zone != "", "zone", "must not be empty")
 	check(s.Capacity >= 0 && s.Capacity <= maxCapacity, "capacity", "must be between 0 and %d cores", maxCapacity)
+	check(s.MemoryMB >= minMemoryMB && s.MemoryMB <= maxMemoryMB, "memoryMb", "must be between %d and %d", minMemoryMB, maxMemoryMB)
 	for _, a := range []struct {
 		field, value string
 		optional     bool
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -52,6 +52,8 @@
 	usage gateway.UsageReports
 	// relayedLines counts the log lines of relayed statements, which are a sample.
 	relayedLines atomic.Int64
+	// memoryLimit is the memory limit of each instance, in bytes; none by default.
+	memoryLimit int64
 	// wrapClients, if set, wraps the listeners for clients.
 	wrapClients func(gateway.Listener) gateway.Listener
 	// usageCalls counts the calls between instances that concern usage reports, and
@@ -299,7 +301,7 @@
 	g := gateway.New(gateway.Config{
 		ID: id, Zone: "z1", PeerAddress: peers.Addr().String(), RevocationBound: 5 * time.Second, GracePeriod: d.gracePeriod, FirstStart: !d.isRunning,
 		ClientListener: clients, PeerListener: callCounter{peerListener{peers, i}, map[string]*atomic.Int64{"Usage": &d.usageCalls, "/Run": &d.relayedStatements}}, ReadinessListener: listen(), Dialer: i.members,
-		ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
+		MemoryLimit: d.memoryLimit, ServingScope: d.scope, Store: store, Promoter: duties, UsageReports: d.usage, UsageStore: store, UsageReporter: duties,
 		Log: logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -32,6 +32,8 @@
 	// RevocationBound is the time within which a revoked key must stop
 	// working.
 	RevocationBound time.Duration
+	// MemoryLimit is the number of bytes that the process should use at most; 0 means no limit.
+	MemoryLimit int64
 	// GracePeriod is the time between SIGTERM and SIGKILL.
 	GracePeriod time.Duration
 	// ServingScope says for what serving sets of instances are chosen.
@@ -99,6 +101,10 @@
 	peers           *peers
 	controller      *controller
 	relayedSessions relayedSessions
+	// statementMemory, transactionMemory and relayedMemory bound the memory of large statements
+	// outside transactions, of open transactions, and from other instances. They are nil if
+	// there is no limit.
+	statementMemory, transactionMemory, relayedMemory *inputMemory
 	// These are nil if the platform expects no usage reports.
 	usageCounter  *usageCounter
 	usageGatherer *usageGatherer
@@ -171,8 +177,11 @@
 	if cfg.UsageReports.enabled() {
 		g.usageCounter, g.usageGatherer, g.usageSender = newUsageCounter(cfg.UsageReports.Window), newUsageGatherer(), newUsageSender(g)
 	}
+	g.statementMemory = newInputMemory(cfg.MemoryLimit, statementShare)
+	g.transactionMemory = newInputMemory(cfg.MemoryLimit, transactionShare)
+	g.relayedMemory = newInputMemory(cfg.MemoryLimit, relayedShare)
 	g.peers = newPeers(g)
-	g.peerServer = &http.Server{Handler: g.peers.handler(), ReadHeaderTimeout: headerTimeout}
+	g.peerServer = &http.Server{Handler: g.limitRelayedInput(g.peers.handler()), ReadHeaderTimeout: headerTimeout}
 	g.controller = newController(g)
 	return g
 }
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -38,6 +38,11 @@
 	// *verdict.Error must be answered with AnswerError and ends the session if it
 	// is fatal; any other error ends the session.
 	NextStatement(deadline time.Time) (statement.Statement, error)
+	// LimitInput sets a function that NextStatement calls before it reads more of a large
+	// statement, with the size that the statement has at least. It returns the size up to which
+	// more is read without another call. NextStatement discards the rest of the statement after
+	// an error, and returns the error.
+	LimitInput(reserve func(size int) (upTo int, err error))
 	// HasInput reports whether part of the next statement has arrived, also if it has not
 	// been read.
 	HasInput() bool
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -150,6 +150,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.timeout+relayTimeoutMargin)
 	defer cancel()
+	if s.tx != nil && !call.begin {
+		ctx = markOpenTransaction(ctx)
+	}
 	if request.Member = call.member; call.member != "" {
 		request.WaitedUs = time.Since(rec.started).Microseconds()
 		giveUp := cancel
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -210,3 +210,10 @@
 	}
 	l.log.WithFields(fields).Warn("refused")
 }
+
+// countRefusedInput counts a large statement that was refused for lack of memory.
+func (l *requestLog) countRefusedInput() {
+	if l.stats != nil {
+		l.stats.Scope().Counter("refused_large_statements").Inc(1)
+	}
+}
--- a/pkg/gateway/session.go
+++ b/pkg/gateway/session.go
@@ -71,6 +71,8 @@
 	// another instance. That instance has charged the workspace's limit unless
 	// chargeRelayed is set.
 	isRelayed, chargeRelayed bool
+	// input is the memory of the present statement, if it is large.
+	input inputHold
 	// member is the member that the sender of a relayed statement has chosen, or "", and
 	// waited is how long the statement has waited there.
 	member string
@@ -127,6 +129,10 @@
 	if s.client.Ready(s.state) != nil {
 		return
 	}
+	if s.gw.statementMemory != nil {
+		s.client.LimitInput(s.reserveInput)
+	}
+	defer s.input.release()
 	for s.serveNext(ctx) {
 	}
 }
@@ -169,6 +175,7 @@
 	if err != nil {
 		return s.handleReadError(st, err)
 	}
+	defer s.input.release()
 	return s.serve(ctx, st) == nil
 }
 
@@ -204,8 +211,14 @@
 	switch {
 	case errors.As(err, &e):
 		s.failTransaction()
-		rec := requestRecord{id: st.ID, database: s.startup.Database, kind: "malformed", started: time.Now(), err: e}
+		kind := "malformed"
+		if e.Code == verdict.QueueFull {
+			kind = "refused"
+		}
+		rec := requestRecord{id: st.ID, database: s.startup.Database, kind: kind, started: time.Now(), err: e}
 		return s.answer(statement.Reply{}, rec) == nil && !e.Fatal
+	case s.input.isOverdue(time.Now()):
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &netErr) && netErr.Timeout()):
 		if schedule := s.gw.stopSchedule(); !schedule.AcceptsTransactions(time.Now()) && (s.state == statement.Idle || !schedule.AwaitsTransactions(time.Now())) {
 			return true // serveNext closes the session unless a statement has arrived
