--- a/core/usage/action.go
+++ b/core/usage/action.go
@@ -11,10 +11,10 @@
 	// Gather asks for the counts of Action.Window (Combine). Answer: Gathered, also if no
 	// gatherer responded.
 	Gather
-	// Fix asks to write Action.Report and Action.AcceptedBefore to the store, and to delete the rows Action.Drop in
-	// the same transaction, if the window has no row yet (its row 0 is absent) and the
-	// promotion lease is unchanged. Answers: Fixed with what the store holds afterwards,
-	// FixRefused if the lease has changed, FixFailed otherwise.
+	// Fix asks to write Action.Report and Action.AcceptedBefore to the store, and to delete
+	// the rows Action.Drop in the same transaction, if the window has no row yet (its row 0 is
+	// absent) and the promotion lease is unchanged. Answers: Fixed with what the store holds
+	// afterwards, FixRefused if the lease has changed, FixFailed otherwise.
 	Fix
 	// Send asks to send Action.Report. Answers: Sent, Fenced or SendFailed.
 	Send
--- a/core/usage/rows.go
+++ b/core/usage/rows.go
@@ -39,8 +39,8 @@
 	Era uint64
 	// Rows is the number of rows that the report takes.
 	Rows int
-	// AcceptedBefore is a window before which the platform had accepted every report when
-	// this one was written. It is 0 if the writer did not say.
+	// AcceptedBefore is a window before which every report had been accepted by the platform,
+	// or given up, when this one was written. It is 0 if the writer did not say.
 	AcceptedBefore Window
 }
 
--- a/pkg/gateway/inputmemory.go
+++ b/pkg/gateway/inputmemory.go
@@ -45,8 +45,8 @@
 // inputMemory bounds the memory of one kind of large statements that are read and wait or run.
 type inputMemory struct {
 	mu      sync.Mutex
-	budget  *admission.ByteBudget                   // guarded by mu
-	waiting map[*admission.ByteRequest]chan<- error // guarded by mu
+	budget  *admission.ByteBudget                      // guarded by mu
+	waiting map[*admission.ByteRequest]chan<- struct{} // guarded by mu
 }
 
 // newInputMemory returns the memory for a share of the limit, or nil if there is no limit.
@@ -54,7 +54,7 @@
 	if limit <= 0 {
 		return nil
 	}
-	return &inputMemory{budget: admission.NewByteBudget(int(share * float64(limit))), waiting: map[*admission.ByteRequest]chan<- error{}}
+	return &inputMemory{budget: admission.NewByteBudget(int(share * float64(limit))), waiting: map[*admission.ByteRequest]chan<- struct{}{}}
 }
 
 // acquire waits for memory, at most maxInputWait. It returns nil if there is none. release must be
@@ -66,7 +66,7 @@
 		m.mu.Unlock()
 		return r
 	}
-	granted := make(chan error, 1)
+	granted := make(chan struct{})
 	m.waiting[r] = granted
 	m.mu.Unlock()
 	timer := time.NewTimer(maxInputWait)
@@ -92,7 +92,7 @@
 	defer m.mu.Unlock()
 	delete(m.waiting, r)
 	for _, next := range m.budget.Release(r) {
-		m.waiting[next] <- nil
+		close(m.waiting[next])
 		delete(m.waiting, next)
 	}
 }
@@ -127,8 +127,8 @@
 	if size <= mediumStatement {
 		upTo = mediumStatement
 	}
-	// What the smaller reservation was for counts only once it is released, so that statements
-	// which grow do not wait for each other.
+	// The smaller reservation is given back first, so that statements which grow do not wait for
+	// each other. What has been read of this one is not counted until it has the larger one.
 	s.input.release()
 	workspace := s.startup.Key
 	if _, w, err := s.gw.authorize(s.startup); err == nil {
