Take the locks of test doubles where other goroutines use them

Cause: two unit tests of the gateway set or use fields without the lock while goroutines that the product has started read them. The race detector reports both, and fails the parallel tests that run at that time.

Change: the tests take the locks.

--- a/pkg/gateway/unanswered_test.go
+++ b/pkg/gateway/unanswered_test.go
@@ -41,12 +41,14 @@
 	next := h.change(h.a, promotion.Leaving, change.orders)
 	next.primary, next.pool.primary, next.pool.term = first, first, 2
 	pauses := 0
+	h.mu.Lock()
 	h.onControl = func(_ Member, s statement.Statement) *statement.Error {
 		if s.Kind == statement.Pause {
 			pauses++
 		}
 		return nil
 	}
+	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	next.run(ctx)
--- a/pkg/gateway/usagelog_test.go
+++ b/pkg/gateway/usagelog_test.go
@@ -58,7 +58,9 @@
 	}
 	gw.usageSender.sendDue(context.Background())
 	g.Expect(logged(hook, "usage-dropped")).To(BeZero(), "each new window drops one that is too old")
+	gw.usageCounter.mu.Lock()
 	gw.usageCounter.counter.Add("coop", usage.Window(2).End(testUsageWindow), 1)
+	gw.usageCounter.mu.Unlock()
 	gw.usageSender.sendDue(context.Background())
 	gw.usageSender.sendDue(context.Background())
 	g.Expect(logged(hook, "usage-dropped")).To(Equal(1))
